--- /dev/null
+++ b/masticspread-codec/src/main/java/org/masticspread/codec/package-info.java
@@ -0,0 +1,2 @@
+/** Jackson mappings of the model to JSON, YAML and MessagePack. */
+package org.masticspread.codec;
--- /dev/null
+++ b/masticspread-model/src/main/java/org/masticspread/model/config/PoolConfig.java
@@ -0,0 +1,20 @@
+package org.masticspread.model.config;
+
+import java.util.List;
+import org.masticspread.model.id.DataCentreId;
+import org.masticspread.model.id.PoolId;
+
+/**
+ * A pool of endpoints and workers that teams share.
+ *
+ * @param name the pool
+ * @param dataCentres its data centres
+ * @param retired whether new work is refused
+ */
+public record PoolConfig(PoolId name, List<DataCentreId> dataCentres, boolean retired) {
+
+  /** Copies the list. */
+  public PoolConfig {
+    dataCentres = List.copyOf(dataCentres);
+  }
+}
--- /dev/null
+++ b/masticspread-model/src/main/java/org/masticspread/model/config/WorkerConfig.java
@@ -0,0 +1,27 @@
+package org.masticspread.model.config;
+
+import org.masticspread.model.id.DataCentreId;
+import org.masticspread.model.id.PoolId;
+import org.masticspread.model.id.RackId;
+import org.masticspread.model.id.WorkerId;
+import org.masticspread.model.resource.ResourceVector;
+
+/**
+ * A worker.
+ *
+ * @param name the worker
+ * @param pool its pool
+ * @param rack its rack
+ * @param dataCentre its data centre
+ * @param address host and port, or a URL
+ * @param capacity what it holds
+ * @param state whether it gets new work
+ */
+public record WorkerConfig(
+    WorkerId name,
+    PoolId pool,
+    RackId rack,
+    DataCentreId dataCentre,
+    String address,
+    ResourceVector capacity,
+    EndpointState state) {}
--- /dev/null
+++ b/masticspread-model/src/main/java/org/masticspread/model/config/package-info.java
@@ -0,0 +1,2 @@
+/** The cell configuration and its audit entries. */
+package org.masticspread.model.config;
--- /dev/null
+++ b/masticspread-model/src/main/java/org/masticspread/model/id/TaskKey.java
@@ -0,0 +1,22 @@
+package org.masticspread.model.id;
+
+/**
+ * Names one task of a job.
+ *
+ * @param job the job
+ * @param index the position in the job, from 0
+ */
+public record TaskKey(JobKey job, int index) {
+
+  /** Checks the position. */
+  public TaskKey {
+    if (index < 0) {
+      throw new IllegalArgumentException("index: " + index + " is negative");
+    }
+  }
+
+  @Override
+  public String toString() {
+    return job + "#" + index;
+  }
+}
--- /dev/null
+++ b/masticspread-model/src/main/java/org/masticspread/model/package-info.java
@@ -0,0 +1,2 @@
+/** Records, identifiers, errors and ports shared by every module. */
+package org.masticspread.model;
--- /dev/null
+++ b/masticspread-model/src/main/java/org/masticspread/model/peer/AskInFlight.java
@@ -0,0 +1,17 @@
+package org.masticspread.model.peer;
+
+import java.util.List;
+import org.masticspread.model.id.EndpointId;
+
+/**
+ * Asks a former home what is in flight at endpoints. Answered by {@link InFlight}.
+ *
+ * @param endpoints the endpoints
+ */
+public record AskInFlight(List<EndpointId> endpoints) implements PeerMessage {
+
+  /** Copies the lists. */
+  public AskInFlight {
+    endpoints = List.copyOf(endpoints);
+  }
+}
--- /dev/null
+++ b/masticspread-model/src/main/java/org/masticspread/model/peer/PlaceTasks.java
@@ -0,0 +1,20 @@
+package org.masticspread.model.peer;
+
+import java.util.List;
+import org.masticspread.model.id.RackId;
+
+/**
+ * Asks the owner of a rack to start tasks. Answered by {@link TasksPlaced}.
+ *
+ * @param rack the rack
+ * @param shardEpoch the epoch of the work shard of all these tasks
+ * @param tasks the tasks
+ */
+public record PlaceTasks(RackId rack, long shardEpoch, List<PlaceTask> tasks)
+    implements PeerMessage {
+
+  /** Copies the lists. */
+  public PlaceTasks {
+    tasks = List.copyOf(tasks);
+  }
+}
--- /dev/null
+++ b/masticspread-model/src/main/java/org/masticspread/model/peer/ReleaseGang.java
@@ -0,0 +1,13 @@
+package org.masticspread.model.peer;
+
+import org.masticspread.model.id.JobKey;
+import org.masticspread.model.id.RackId;
+
+/**
+ * Gives a reservation back. Answered by {@link Acknowledged}.
+ *
+ * @param rack the rack
+ * @param job the gang
+ * @param attempt the attempt of the gang
+ */
+public record ReleaseGang(RackId rack, JobKey job, int attempt) implements PeerMessage {}
--- /dev/null
+++ b/masticspread-model/src/main/java/org/masticspread/model/peer/ShardEpoch.java
@@ -0,0 +1,11 @@
+package org.masticspread.model.peer;
+
+import org.masticspread.model.id.ShardId;
+
+/**
+ * A work shard with its epoch.
+ *
+ * @param shard the shard
+ * @param epoch the epoch
+ */
+public record ShardEpoch(ShardId shard, long epoch) {}
--- /dev/null
+++ b/masticspread-model/src/main/java/org/masticspread/model/platform/EndpointPort.java
@@ -0,0 +1,21 @@
+package org.masticspread.model.platform;
+
+import java.time.Duration;
+import java.util.concurrent.CompletionStage;
+import org.masticspread.model.config.EndpointConfig;
+import org.masticspread.model.work.RequestSpec;
+
+/** Calls to endpoints. */
+@FunctionalInterface
+public interface EndpointPort {
+  /**
+   * Sends a request to an endpoint. The stage never completes exceptionally.
+   *
+   * @param endpoint where to send it
+   * @param request the request; its key correlates the answer
+   * @param timeout how long to wait for the whole answer
+   * @return how the call ended
+   */
+  CompletionStage<EndpointReply> call(
+      EndpointConfig endpoint, RequestSpec request, Duration timeout);
+}
--- /dev/null
+++ b/masticspread-model/src/main/java/org/masticspread/model/platform/Mutation.java
@@ -0,0 +1,33 @@
+package org.masticspread.model.platform;
+
+import org.masticspread.model.work.Payload;
+
+/**
+ * A write of a transaction.
+ *
+ * @param key the key of the row
+ * @param value the new content; null to delete the row
+ */
+public record Mutation(String key, Payload value) {
+
+  /**
+   * Returns a write of a row.
+   *
+   * @param key the key
+   * @param value the content
+   * @return the write
+   */
+  public static Mutation put(String key, Payload value) {
+    return new Mutation(key, value);
+  }
+
+  /**
+   * Returns the removal of a row.
+   *
+   * @param key the key
+   * @return the write
+   */
+  public static Mutation delete(String key) {
+    return new Mutation(key, null);
+  }
+}
--- /dev/null
+++ b/masticspread-model/src/main/java/org/masticspread/model/platform/Transaction.java
@@ -0,0 +1,18 @@
+package org.masticspread.model.platform;
+
+import java.util.List;
+
+/**
+ * Writes that take effect all together if every condition holds.
+ *
+ * @param conditions the conditions
+ * @param mutations the writes
+ */
+public record Transaction(List<Condition> conditions, List<Mutation> mutations) {
+
+  /** Copies the lists. */
+  public Transaction {
+    conditions = List.copyOf(conditions);
+    mutations = List.copyOf(mutations);
+  }
+}
--- /dev/null
+++ b/masticspread-model/src/main/java/org/masticspread/model/resource/package-info.java
@@ -0,0 +1,2 @@
+/** Resource vectors. */
+package org.masticspread.model.resource;
--- /dev/null
+++ b/masticspread-model/src/main/java/org/masticspread/model/work/JobView.java
@@ -0,0 +1,22 @@
+package org.masticspread.model.work;
+
+import java.time.Instant;
+import java.util.List;
+
+/**
+ * A job as callers see it.
+ *
+ * @param spec the job as submitted
+ * @param phase the phase
+ * @param acceptedAt when it was durably accepted
+ * @param tasks its tasks in order
+ * @param reason why it waits, is parked or failed; a short sentence
+ */
+public record JobView(
+    JobSpec spec, JobPhase phase, Instant acceptedAt, List<TaskView> tasks, String reason) {
+
+  /** Copies the list. */
+  public JobView {
+    tasks = List.copyOf(tasks);
+  }
+}
--- /dev/null
+++ b/masticspread-model/src/main/java/org/masticspread/model/work/package-info.java
@@ -0,0 +1,2 @@
+/** Requests, jobs and tasks. */
+package org.masticspread.model.work;
