--- /dev/null
+++ b/masticspread-node/src/main/java/org/masticspread/node/api/RequestInput.java
@@ -0,0 +1,15 @@
+package org.masticspread.node.api;
+
+import java.time.Duration;
+
+/**
+ * The body of a call that runs a request.
+ *
+ * @param team the team
+ * @param request the id; null to have one made up
+ * @param workClass the work class
+ * @param answerWithin the time for the answer; null for that of the work class
+ * @param body the body for the endpoint; null for none
+ */
+record RequestInput(
+    String team, String request, String workClass, Duration answerWithin, String body) {}
--- /dev/null
+++ b/masticspread-node/src/main/java/org/masticspread/node/api/StatusService.java
@@ -0,0 +1,76 @@
+package org.masticspread.node.api;
+
+import java.util.List;
+import java.util.concurrent.CompletionStage;
+import org.masticspread.model.id.VmId;
+import org.masticspread.model.peer.Decision;
+import org.masticspread.model.peer.HomeDigest;
+import org.masticspread.model.peer.RackDigest;
+import org.masticspread.model.peer.ShardEpoch;
+
+/** Tells how this VM and its peers are. */
+public interface StatusService {
+  /**
+   * How a VM is, as this VM knows it.
+   *
+   * @param vm the VM
+   * @param incarnation the number of its life
+   * @param configRevision the revision in force there
+   * @param storeReached whether its latest heartbeat reached the store
+   * @param stopping whether it is about to stop
+   * @param ageMs how old this knowledge is, in milliseconds
+   * @param home the load of its endpoints
+   * @param shards the work shards it owns
+   * @param racks the racks it owns
+   */
+  record VmStatus(
+      VmId vm,
+      long incarnation,
+      long configRevision,
+      boolean storeReached,
+      boolean stopping,
+      long ageMs,
+      HomeDigest home,
+      List<ShardEpoch> shards,
+      List<RackDigest> racks) {}
+
+  /**
+   * How the cell is, as this VM knows it.
+   *
+   * @param vm this VM
+   * @param ready whether this VM takes work
+   * @param configRevision the revision in force here
+   * @param shardsOwned the number of work shards with a known owner
+   * @param shardsTotal the number of work shards
+   * @param vms this VM and its peers
+   */
+  record Status(
+      VmId vm,
+      boolean ready,
+      long configRevision,
+      int shardsOwned,
+      int shardsTotal,
+      List<VmStatus> vms) {}
+
+  /**
+   * Returns how the cell is.
+   *
+   * @return the status
+   */
+  Status status();
+
+  /**
+   * Tells whether this VM takes work.
+   *
+   * @return whether it is ready
+   */
+  boolean isReady();
+
+  /**
+   * Collects the decisions of all VMs that answer.
+   *
+   * @param subject the subject, as {@code job:TEAM/JOB}
+   * @return the decisions, oldest first
+   */
+  CompletionStage<List<Decision>> explain(String subject);
+}
--- /dev/null
+++ b/masticspread-node/src/main/java/org/masticspread/node/api/package-info.java
@@ -0,0 +1,2 @@
+/** The HTTP interface for callers and operators. */
+package org.masticspread.node.api;
--- /dev/null
+++ b/masticspread-node/src/main/java/org/masticspread/node/config/package-info.java
@@ -0,0 +1,2 @@
+/** The configuration in force. */
+package org.masticspread.node.config;
--- /dev/null
+++ b/masticspread-node/src/main/java/org/masticspread/node/explain/package-info.java
@@ -0,0 +1,2 @@
+/** Decisions and their reasons, for operators. */
+package org.masticspread.node.explain;
--- /dev/null
+++ b/masticspread-node/src/main/java/org/masticspread/node/job/package-info.java
@@ -0,0 +1,2 @@
+/** Jobs: work-shard owners and their scheduling. */
+package org.masticspread.node.job;
--- /dev/null
+++ b/masticspread-node/src/main/java/org/masticspread/node/member/package-info.java
@@ -0,0 +1,2 @@
+/** Live VMs, digests and the way to shard owners. */
+package org.masticspread.node.member;
--- /dev/null
+++ b/masticspread-node/src/main/java/org/masticspread/node/package-info.java
@@ -0,0 +1,2 @@
+/** The process that runs on every entry VM. */
+package org.masticspread.node;
--- /dev/null
+++ b/masticspread-node/src/main/java/org/masticspread/node/rack/package-info.java
@@ -0,0 +1,2 @@
+/** Racks: ledger, leases and worker reports. */
+package org.masticspread.node.rack;
--- /dev/null
+++ b/masticspread-node/src/main/java/org/masticspread/node/settings/package-info.java
@@ -0,0 +1,2 @@
+/** Flags and environment variables, checked. */
+package org.masticspread.node.settings;
--- /dev/null
+++ b/masticspread-node/src/main/java/org/masticspread/node/stop/package-info.java
@@ -0,0 +1,2 @@
+/** Graceful stop. */
+package org.masticspread.node.stop;
