--- /dev/null
+++ b/masticspread-platform/src/main/java/org/masticspread/platform/standin/DelayedExecutor.java
@@ -0,0 +1,29 @@
+package org.masticspread.platform.standin;
+
+import java.time.Duration;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+/** Runs a task after a delay. */
+@FunctionalInterface
+public interface DelayedExecutor {
+  /**
+   * Runs a task later.
+   *
+   * @param delay how long to wait
+   * @param task the task; must not block
+   */
+  void after(Duration delay, Runnable task);
+
+  /**
+   * Returns an executor in real time.
+   *
+   * @param scheduler runs the tasks; the caller shuts it down
+   * @return the executor
+   */
+  static DelayedExecutor of(ScheduledExecutorService scheduler) {
+    return (delay, task) -> {
+      var ignored = scheduler.schedule(task, delay.toNanos(), TimeUnit.NANOSECONDS);
+    };
+  }
+}
--- /dev/null
+++ b/masticspread-platform/src/main/java/org/masticspread/platform/standin/MemoryObjects.java
@@ -0,0 +1,66 @@
+package org.masticspread.platform.standin;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.masticspread.model.platform.ObjectStore;
+import org.masticspread.model.platform.StoreException;
+import org.masticspread.model.work.Payload;
+
+/**
+ * An object store in memory.
+ *
+ * <p>Example: {@code new MemoryObjects(Faults.none())}. Calls are named {@code objects.put}, {@code
+ * objects.get}, {@code objects.list} and {@code objects.delete}. Thread-safe.
+ */
+public final class MemoryObjects implements ObjectStore {
+  private final TreeMap<String, Payload> objects = new TreeMap<>();
+  private final FaultGate<StoreException> gate;
+
+  /**
+   * Creates an empty store.
+   *
+   * @param faults the script of faults
+   */
+  public MemoryObjects(Faults faults) {
+    this.gate = StoreFailures.gate(faults);
+  }
+
+  @Override
+  public void put(String name, Payload content) throws StoreException {
+    gate.run("objects.put/" + name, () -> write(name, content));
+  }
+
+  @Override
+  public Optional<Payload> get(String name) throws StoreException {
+    return gate.run("objects.get/" + name, () -> find(name));
+  }
+
+  @Override
+  public List<String> list(String prefix) throws StoreException {
+    return gate.run("objects.list/" + prefix, () -> names(prefix));
+  }
+
+  @Override
+  public void delete(String name) throws StoreException {
+    gate.run("objects.delete/" + name, () -> remove(name));
+  }
+
+  private synchronized Payload write(String name, Payload content) {
+    return objects.put(name, content);
+  }
+
+  private synchronized Optional<Payload> find(String name) {
+    return Optional.ofNullable(objects.get(name));
+  }
+
+  private synchronized List<String> names(String prefix) {
+    return objects.tailMap(prefix, true).keySet().stream()
+        .takeWhile(name -> name.startsWith(prefix))
+        .toList();
+  }
+
+  private synchronized Payload remove(String name) {
+    return objects.remove(name);
+  }
+}
--- /dev/null
+++ b/masticspread-platform/src/main/java/org/masticspread/platform/standin/TaskScript.java
@@ -0,0 +1,64 @@
+package org.masticspread.platform.standin;
+
+import java.time.Duration;
+import java.time.format.DateTimeParseException;
+import org.masticspread.model.id.WorkerId;
+import org.masticspread.model.platform.StartTask;
+import org.masticspread.model.resource.ResourceVector;
+
+/** Tells what a started task does. */
+@FunctionalInterface
+public interface TaskScript {
+  /**
+   * Reads the command: {@code sleep:PT2S} runs for 2 s, {@code fail} and {@code fail:PT2S} end
+   * badly at once or after 2 s, {@code fail-on:NAME} ends badly at once on that worker and well
+   * elsewhere, {@code service} runs until it is stopped. A second word {@code
+   * use:MILLICORES:BYTES:ACCELERATORS} tells what it uses; else it uses its size. Any other command
+   * ends badly at once.
+   */
+  TaskScript COMMAND = TaskScript::parse;
+
+  /**
+   * Tells what a task does.
+   *
+   * @param worker the worker that starts it
+   * @param start the order to start it
+   * @return what it does
+   */
+  TaskPlan plan(WorkerId worker, StartTask start);
+
+  private static TaskPlan parse(WorkerId worker, StartTask start) {
+    String[] words = start.command().asText().strip().split(" +", -1);
+    try {
+      ResourceVector usage = words.length < 2 ? start.size() : usage(words[1]);
+      return planOf(words[0], worker, usage);
+    } catch (DateTimeParseException | IllegalArgumentException e) {
+      return new TaskPlan(Duration.ZERO, false, ResourceVector.ZERO);
+    }
+  }
+
+  private static TaskPlan planOf(String command, WorkerId worker, ResourceVector usage) {
+    String name = command.replaceFirst(":.*", "");
+    String argument = command.substring(Math.min(name.length() + 1, command.length()));
+    return switch (name) {
+      case "sleep" -> new TaskPlan(Duration.parse(argument), true, usage);
+      case "service" -> new TaskPlan(null, true, usage);
+      case "fail" -> new TaskPlan(durationOrZero(argument), false, usage);
+      case "fail-on" -> new TaskPlan(Duration.ZERO, !worker.value().equals(argument), usage);
+      default -> throw new IllegalArgumentException("command: '" + name + "' is not known");
+    };
+  }
+
+  private static Duration durationOrZero(String text) {
+    return text.isEmpty() ? Duration.ZERO : Duration.parse(text);
+  }
+
+  private static ResourceVector usage(String word) {
+    String[] parts = word.split(":", -1);
+    if (parts.length != 4 || !parts[0].equals("use")) {
+      throw new IllegalArgumentException("use: '" + word + "' is not allowed");
+    }
+    return new ResourceVector(
+        Long.parseLong(parts[1]), Long.parseLong(parts[2]), Integer.parseInt(parts[3]));
+  }
+}
