--- /dev/null
+++ b/masticspread-ctl/src/main/java/org/masticspread/ctl/measure/MeasureCommand.java
@@ -0,0 +1,21 @@
+package org.masticspread.ctl.measure;
+
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.ParameterException;
+import picocli.CommandLine.Spec;
+
+/** The parent of the measure commands. */
+@Command(
+    name = "measure",
+    mixinStandardHelpOptions = true,
+    description = "Measures the decisions on a virtual clock, next to baselines in the same run.",
+    subcommands = {})
+public final class MeasureCommand implements Runnable {
+  @Spec private CommandSpec spec;
+
+  @Override
+  public void run() {
+    throw new ParameterException(spec.commandLine(), "measure: name one of the measures");
+  }
+}
