Node: rack owner, gossip, configuration

Cause: the job path needs an owner of racks that is fenced at the workers. Change: ledger per rack, starts under leases with a start-before instant, renewals, reports until acknowledged, seals, lapses of silent workers.

--- /dev/null
+++ b/masticspread-node/src/main/java/org/masticspread/node/config/NodeConfig.java
@@ -0,0 +1,142 @@
+package org.masticspread.node.config;
+
+import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
+import java.util.List;
+import java.util.function.Consumer;
+import org.masticspread.model.config.AuditEntry;
+import org.masticspread.model.config.Configuration;
+import org.masticspread.model.id.VmId;
+import org.masticspread.model.peer.ConfigFetched;
+import org.masticspread.model.peer.FetchConfig;
+import org.masticspread.model.result.InvalidFieldException;
+import org.masticspread.model.result.MasticspreadException;
+import org.masticspread.model.result.ResultCode;
+import org.masticspread.node.api.ConfigService;
+import org.masticspread.node.member.Members;
+import org.masticspread.node.member.PeerCalls;
+import org.masticspread.state.config.ConfigCheck;
+import org.masticspread.state.config.ConfigFollower;
+import org.masticspread.state.config.ConfigLog;
+
+/**
+ * The configuration of this VM: follows the log in the store and the revisions that peers tell.
+ *
+ * <p>Example: {@code config.poll()} at each interval, {@code config.fetchFrom(vm)} when the digest of
+ * a peer tells a higher revision.
+ */
+public final class NodeConfig implements ConfigService {
+  private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+  private static final Duration FETCH_TIMEOUT = Duration.ofSeconds(2);
+
+  private final ConfigLog log;
+  private final ConfigFollower follower;
+
+  /**
+   * Creates the configuration, empty until the first poll or fetch.
+   *
+   * @param log the revision log
+   */
+  public NodeConfig(ConfigLog log) {
+    this.log = log;
+    this.follower = new ConfigFollower(log);
+  }
+
+  /**
+   * Adds a listener for each revision that comes into force.
+   *
+   * @param listener gets the configuration
+   */
+  public void onChange(Consumer<Configuration> listener) {
+    follower.onChange(listener);
+  }
+
+  /** Reads the head of the log; trouble with the store is logged and the next poll repeats it. */
+  public void poll() {
+    try {
+      if (follower.poll()) {
+        LOG.atInfo().log("config: revision %d in force", follower.inForce().revision());
+      }
+    } catch (MasticspreadException e) {
+      LOG.atWarning().log("config: poll failed: %s", e.getMessage());
+    }
+  }
+
+  /**
+   * Fetches newer revisions from peers that have told one.
+   *
+   * @param members the view of this VM
+   * @param calls calls peers
+   */
+  public void fetch(Members members, PeerCalls calls) {
+    long mine = follower.inForce().revision();
+    members.fresh().stream()
+        .filter(d -> d.configRevision() > mine)
+        .findFirst()
+        .ifPresent(d -> fetchFrom(d.from().vm(), calls));
+  }
+
+  private void fetchFrom(VmId vm, PeerCalls calls) {
+    FetchConfig message = new FetchConfig(follower.inForce().revision());
+    calls
+        .call(vm, message, ConfigFetched.class, FETCH_TIMEOUT)
+        .whenComplete(
+            (fetched, thrown) -> {
+              boolean newer = thrown == null && fetched.configuration() != null;
+              if (newer && follower.offer(fetched.configuration())) {
+                LOG.atInfo().log(
+                    "config: revision %d in force, from %s", inForce().revision(), vm);
+              }
+            });
+  }
+
+  /**
+   * Answers a peer that asks for a newer revision.
+   *
+   * @param message the revision that the peer has
+   * @return the configuration in force if it is newer
+   */
+  public ConfigFetched answer(FetchConfig message) {
+    Configuration mine = inForce();
+    return new ConfigFetched(mine.revision() > message.newerThan() ? mine : null);
+  }
+
+  @Override
+  public Configuration inForce() {
+    return follower.inForce();
+  }
+
+  @Override
+  public Configuration revision(long revision) throws MasticspreadException {
+    if (revision > log.head()) {
+      throw new MasticspreadException(ResultCode.NOT_FOUND, "n: there is no revision " + revision);
+    }
+    return log.revision(revision);
+  }
+
+  @Override
+  public List<Problem> problems(Configuration configuration) {
+    return ConfigCheck.problems(configuration).stream()
+        .map(p -> new Problem(p.field(), p.message()))
+        .toList();
+  }
+
+  @Override
+  public long apply(long expectedRevision, Configuration configuration, String who, String what)
+      throws MasticspreadException {
+    List<Problem> problems = problems(configuration);
+    if (!problems.isEmpty()) {
+      Problem first = problems.get(0);
+      throw new InvalidFieldException(
+          first.field(), first.message(), "a configuration without problems; see validate");
+    }
+    long revision = log.apply(expectedRevision, configuration, who, what);
+    follower.offer(configuration.withRevision(revision));
+    return revision;
+  }
+
+  @Override
+  public List<AuditEntry> audit(int limit) throws MasticspreadException {
+    return log.history(limit);
+  }
+}
--- /dev/null
+++ b/masticspread-node/src/main/java/org/masticspread/node/rack/RackShard.java
@@ -0,0 +1,145 @@
+package org.masticspread.node.rack;
+
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.masticspread.model.config.Configuration;
+import org.masticspread.model.config.WorkerConfig;
+import org.masticspread.model.id.RackId;
+import org.masticspread.model.id.ShardId;
+import org.masticspread.model.id.WorkerId;
+import org.masticspread.model.peer.PlaceTask;
+import org.masticspread.model.peer.PlaceTasks;
+import org.masticspread.model.peer.RunningTask;
+import org.masticspread.model.peer.ShardEpoch;
+import org.masticspread.model.platform.TaskAttempt;
+import org.masticspread.policy.placement.RackLedger;
+
+/**
+ * One rack that this VM owns: its ledger, the epochs of work shards it has seen, and its contact
+ * with each worker. Thread-safe.
+ */
+final class RackShard {
+  /**
+   * A task with the worker that the ledger chose; no worker when there is no room.
+   *
+   * @param task the task
+   * @param worker the worker, or empty
+   */
+  record Chosen(PlaceTask task, Optional<WorkerId> worker) {}
+
+  private final RackId rack;
+  private final long epoch;
+  private final RackTimes times;
+  private final InstantSource clock;
+  private final RackLedger ledger;
+  private final Instant acquiredAt;
+  private final Map<WorkerId, WorkerLink> links = new HashMap<>();
+  private final Map<ShardId, Long> shardEpochs = new HashMap<>();
+
+  RackShard(RackId rack, long epoch, RackTimes times, InstantSource clock) {
+    this.rack = rack;
+    this.epoch = epoch;
+    this.times = times;
+    this.clock = clock;
+    this.ledger = RackLedger.forRack(rack, clock);
+    this.acquiredAt = clock.instant();
+  }
+
+  RackId rack() {
+    return rack;
+  }
+
+  long epoch() {
+    return epoch;
+  }
+
+  RackLedger ledger() {
+    return ledger;
+  }
+
+  synchronized void configure(Configuration configuration) {
+    ledger.configure(configuration);
+    Instant formerLeases = acquiredAt.plus(times.lease()).plus(times.skewMargin());
+    for (WorkerConfig worker : configuration.workers()) {
+      if (worker.rack().equals(rack)) {
+        links.computeIfAbsent(worker.name(), w -> new WorkerLink(formerLeases));
+      }
+    }
+  }
+
+  synchronized Map<WorkerId, WorkerLink> links() {
+    return Map.copyOf(links);
+  }
+
+  synchronized WorkerLink link(WorkerId worker) {
+    return links.get(worker);
+  }
+
+  /**
+   * Books tasks if the epoch of their work shard is not stale. Booking and sealing exclude each
+   * other, so that a seal lists each task that was booked before it.
+   *
+   * @return the choices, or empty when the epoch is stale
+   */
+  synchronized Optional<List<Chosen>> book(PlaceTasks message) {
+    for (PlaceTask task : message.tasks()) {
+      if (isStale(task.workShard(), message.shardEpoch())) {
+        return Optional.empty();
+      }
+    }
+    List<Chosen> chosen = new ArrayList<>();
+    for (PlaceTask task : message.tasks()) {
+      PlaceTask bounded = withStartWindow(task);
+      chosen.add(new Chosen(bounded, ledger.place(bounded)));
+    }
+    return Optional.of(chosen);
+  }
+
+  private PlaceTask withStartWindow(PlaceTask task) {
+    Instant latest = clock.instant().plus(times.startWindow());
+    Instant startBefore = task.startBefore().isBefore(latest) ? task.startBefore() : latest;
+    return new PlaceTask(
+        task.task(),
+        task.attempt(),
+        task.workShard(),
+        task.classKey(),
+        task.urgency(),
+        task.kind(),
+        task.size(),
+        startBefore,
+        task.command());
+  }
+
+  synchronized boolean isStale(ShardId workShard, long shardEpoch) {
+    long seen = shardEpochs.merge(workShard, shardEpoch, Math::max);
+    return seen > shardEpoch;
+  }
+
+  /**
+   * Raises the epochs of work shards and lists what runs, or may run, for them.
+   *
+   * @return the tasks, or empty while a worker has not told what it runs
+   */
+  synchronized Optional<List<RunningTask>> seal(List<ShardEpoch> shards) {
+    shards.forEach(s -> shardEpochs.merge(s.shard(), s.epoch(), Math::max));
+    boolean known = links.values().stream().allMatch(WorkerLink::isKnown);
+    if (!known) {
+      return Optional.empty();
+    }
+    List<RunningTask> running = new ArrayList<>();
+    shards.forEach(s -> running.addAll(ledger.running(s.shard())));
+    return Optional.of(running);
+  }
+
+  /** Finds the work shard of a booked attempt. */
+  synchronized Map<TaskAttempt, ShardId> shardsOfBooked() {
+    Map<TaskAttempt, ShardId> shards = new HashMap<>();
+    ledger.running(null).forEach(r -> shards.put(r.task(), r.workShard()));
+    return shards;
+  }
+}
