--- /dev/null
+++ b/masticspread-policy/src/main/java/org/masticspread/policy/request/internal/Entry.java
@@ -0,0 +1,29 @@
+package org.masticspread.policy.request.internal;
+
+import org.masticspread.model.id.EndpointId;
+import org.masticspread.model.work.RequestSpec;
+
+/** One admitted request and its links within the queue of its class. */
+final class Entry {
+  final RequestSpec request;
+  final ClassQueue queue;
+  final long answerBy;
+  int attempts;
+  int inFlight;
+  boolean mayHaveRun;
+  boolean queued;
+  boolean concluded;
+  EndpointId lastEndpoint;
+  Entry before;
+  Entry after;
+
+  Entry(RequestSpec request, ClassQueue queue) {
+    this.request = request;
+    this.queue = queue;
+    this.answerBy = Times.nanos(request.answerBy());
+  }
+
+  int sizeBytes() {
+    return request.body().sizeBytes();
+  }
+}
--- /dev/null
+++ b/masticspread-policy/src/main/java/org/masticspread/policy/request/internal/FairQueue.java
@@ -0,0 +1,202 @@
+package org.masticspread.policy.request.internal;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.TreeSet;
+import org.masticspread.model.work.Urgency;
+
+/**
+ * Orders the backlogged classes of a pool: floors first, then late deferrable work within the share
+ * of its team, then spare capacity, urgent first and by weight.
+ *
+ * <p>A tag tells up to when a floor is used: each nanosecond of slot time moves it by one over the
+ * floor in slots. Work at or before now is within its floor.
+ */
+final class FairQueue {
+  private static final long OVERDUE_NANOS = 250_000_000L;
+  private static final Comparator<ClassQueue> BY_FLOOR =
+      Comparator.<ClassQueue>comparingLong(q -> q.floorTag).thenComparing(q -> q.name);
+  private static final Comparator<ClassQueue> BY_LIFT =
+      Comparator.<ClassQueue>comparingLong(q -> q.liftAt).thenComparing(q -> q.name);
+  private static final Comparator<TeamAccount> BY_TEAM_FLOOR =
+      Comparator.<TeamAccount>comparingLong(t -> t.floorTag).thenComparing(t -> t.name);
+  private static final Comparator<TeamAccount> BY_SPARE =
+      Comparator.<TeamAccount>comparingDouble(t -> t.spareUsed).thenComparing(t -> t.name);
+
+  private final long burstNanos;
+  private final List<TreeSet<ClassQueue>> floors = new ArrayList<>();
+  private final List<TreeSet<TeamAccount>> spare = new ArrayList<>();
+  private final TreeSet<TeamAccount> teamFloors = new TreeSet<>(BY_TEAM_FLOOR);
+  private final TreeSet<ClassQueue> lifts = new TreeSet<>(BY_LIFT);
+  private double spareClock;
+
+  FairQueue(long burstNanos) {
+    this.burstNanos = burstNanos;
+    for (int i = 0; i < Urgency.values().length; i++) {
+      floors.add(new TreeSet<>(BY_FLOOR));
+      spare.add(new TreeSet<>(BY_SPARE));
+    }
+  }
+
+  /** Changes the queues or accounts of a team and keeps the order. */
+  void change(TeamAccount team, Runnable change) {
+    remove(team);
+    change.run();
+    add(team);
+  }
+
+  void add(TeamAccount team) {
+    for (ClassQueue queue : team.classes) {
+      if (!queue.isBacklogged()) {
+        continue;
+      }
+      floors.get(queue.urgency().ordinal()).add(queue);
+      spare.get(queue.urgency().ordinal()).add(team);
+      teamFloors.add(team);
+      if (queue.urgency() != Urgency.URGENT) {
+        queue.liftAt = queue.latestStart();
+        lifts.add(queue);
+      }
+    }
+  }
+
+  void remove(TeamAccount team) {
+    if (!teamFloors.remove(team)) {
+      return;
+    }
+    for (ClassQueue queue : team.classes) {
+      floors.get(queue.urgency().ordinal()).remove(queue);
+      spare.get(queue.urgency().ordinal()).remove(team);
+      lifts.remove(queue);
+    }
+  }
+
+  /** Returns the class to serve next, or null when the free slots are kept for urgent work. */
+  Choice choose(long now, int freeSlots, int reservedSlots) {
+    Choice choice = withinFloor(now, Urgency.URGENT, 0);
+    if (choice == null) {
+      choice = lifted(now);
+    }
+    if (choice == null) {
+      choice = withTeamFloor(now, Urgency.URGENT);
+    }
+    if (choice != null) {
+      return choice;
+    }
+    boolean open = freeSlots > reservedSlots;
+    choice = withinFloor(now, Urgency.NORMAL, open ? 0 : OVERDUE_NANOS);
+    if (choice == null) {
+      choice = withinFloor(now, Urgency.DEFERRABLE, open ? 0 : OVERDUE_NANOS);
+    }
+    if (choice != null || !open) {
+      return choice;
+    }
+    choice = withTeamFloor(now, Urgency.DEFERRABLE);
+    return choice == null ? fromSpare() : choice;
+  }
+
+  private Choice withinFloor(long now, Urgency urgency, long overdueNanos) {
+    TreeSet<ClassQueue> queues = floors.get(urgency.ordinal());
+    if (queues.isEmpty() || queues.first().floorTag > now - overdueNanos) {
+      return null;
+    }
+    return new Choice(queues.first(), Stage.CLASS_FLOOR);
+  }
+
+  private Choice lifted(long now) {
+    for (ClassQueue queue : lifts) {
+      if (queue.liftAt > now) {
+        return null;
+      }
+      if (queue.team.shareTag <= now) {
+        return new Choice(queue, Stage.LIFTED);
+      }
+    }
+    return null;
+  }
+
+  private Choice withTeamFloor(long now, Urgency leastUrgent) {
+    for (TeamAccount team : teamFloors) {
+      if (team.floorTag > now) {
+        return null;
+      }
+      for (int i = 0; i <= leastUrgent.ordinal(); i++) {
+        ClassQueue queue = team.leastServed(Urgency.values()[i]);
+        if (queue != null) {
+          return new Choice(queue, Stage.TEAM_FLOOR);
+        }
+      }
+    }
+    return null;
+  }
+
+  private Choice fromSpare() {
+    for (Urgency urgency : Urgency.values()) {
+      TreeSet<TeamAccount> teams = spare.get(urgency.ordinal());
+      if (!teams.isEmpty()) {
+        return new Choice(teams.first().leastServed(urgency), Stage.SPARE);
+      }
+    }
+    return null;
+  }
+
+  /** Charges estimated slot time at a dispatch; call it within {@link #change}. */
+  void charge(Choice choice, long now, double costNanos) {
+    ClassQueue queue = choice.queue();
+    TeamAccount team = queue.team;
+    queue.floorTag = advanced(queue.floorTag, now, costNanos, queue.floorSlots);
+    team.floorTag = advanced(team.floorTag, now, costNanos, team.floorSlots);
+    team.shareTag = advanced(team.shareTag, now, costNanos, team.shareSlots);
+    if (choice.stage() != Stage.SPARE) {
+      return;
+    }
+    spareClock = Math.max(spareClock, team.spareUsed);
+    team.spareUsed = Math.max(team.spareUsed, spareClock) + costNanos / weight(team);
+    queue.spareUsed += costNanos;
+  }
+
+  /** Corrects a charge by the measured slot time; call it within {@link #change}. */
+  void correct(Choice choice, double moreNanos) {
+    ClassQueue queue = choice.queue();
+    TeamAccount team = queue.team;
+    queue.floorTag += steps(moreNanos, queue.floorSlots);
+    team.floorTag += steps(moreNanos, team.floorSlots);
+    team.shareTag += steps(moreNanos, team.shareSlots);
+    if (choice.stage() == Stage.SPARE) {
+      team.spareUsed += moreNanos / weight(team);
+      queue.spareUsed += moreNanos;
+    }
+  }
+
+  /** Lets a team that comes back compete from now on, without credit for its idle time. */
+  void resume(TeamAccount team) {
+    team.spareUsed = Math.max(team.spareUsed, spareClock);
+  }
+
+  private static int weight(TeamAccount team) {
+    return Math.max(1, team.config.weight());
+  }
+
+  private long advanced(long tag, long now, double costNanos, double slots) {
+    if (slots <= 0) {
+      return Times.NEVER;
+    }
+    return Math.max(tag, now - burstNanos) + steps(costNanos, slots);
+  }
+
+  private static long steps(double costNanos, double slots) {
+    return slots <= 0 ? 0 : (long) (costNanos / slots);
+  }
+
+  /** What entitles a class to a slot. */
+  enum Stage {
+    CLASS_FLOOR,
+    LIFTED,
+    TEAM_FLOOR,
+    SPARE
+  }
+
+  /** A class and what entitles it. */
+  record Choice(ClassQueue queue, Stage stage) {}
+}
