--- /dev/null
+++ b/masticspread-node/src/main/java/org/masticspread/node/job/JobShard.java
@@ -0,0 +1,125 @@
+package org.masticspread.node.job;
+
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.masticspread.model.id.JobKey;
+import org.masticspread.model.id.RackId;
+import org.masticspread.model.id.ShardId;
+import org.masticspread.model.id.TaskKey;
+import org.masticspread.state.shard.WorkShardState;
+
+/**
+ * A work shard that this VM owns: its durable state, where its tasks run, and how far its recovery
+ * is. Thread-safe.
+ */
+final class JobShard {
+  /** How far the recovery of a shard is. */
+  enum Recovery {
+    /** Some rack has not told what it runs for this shard. */
+    SEALING,
+    /** All racks have told; ended tasks may still be reported. */
+    SETTLING,
+    /** Tasks of former owners may start. */
+    READY
+  }
+
+  private final ShardId id;
+  private final long epoch;
+  private final WorkShardState state;
+  private final Map<TaskKey, Placement> placements = new HashMap<>();
+  private final Map<RackId, Long> sealedRacks = new HashMap<>();
+  private final Set<JobKey> restartingGangs = new HashSet<>();
+  private Recovery recovery = Recovery.SEALING;
+  private Instant settledAt;
+
+  JobShard(ShardId id, long epoch, WorkShardState state) {
+    this.id = id;
+    this.epoch = epoch;
+    this.state = state;
+  }
+
+  ShardId id() {
+    return id;
+  }
+
+  long epoch() {
+    return epoch;
+  }
+
+  WorkShardState state() {
+    return state;
+  }
+
+  synchronized void put(TaskKey task, Placement placement) {
+    placements.put(task, placement);
+  }
+
+  synchronized Optional<Placement> placement(TaskKey task) {
+    return Optional.ofNullable(placements.get(task));
+  }
+
+  /** Forgets an attempt; a later attempt of the task stays. */
+  synchronized boolean forget(TaskKey task, int attempt) {
+    Placement known = placements.get(task);
+    if (known == null || known.attempt() > attempt) {
+      return false;
+    }
+    placements.remove(task);
+    return true;
+  }
+
+  synchronized Map<TaskKey, Placement> placements() {
+    return Map.copyOf(placements);
+  }
+
+  synchronized Map<TaskKey, Placement> placementsOf(JobKey job) {
+    Map<TaskKey, Placement> found = new HashMap<>();
+    placements.forEach(
+        (task, placement) -> {
+          if (task.job().equals(job)) {
+            found.put(task, placement);
+          }
+        });
+    return found;
+  }
+
+  synchronized boolean isSealed(RackId rack, long rackEpoch) {
+    return sealedRacks.getOrDefault(rack, 0L) >= rackEpoch;
+  }
+
+  synchronized void sealed(RackId rack, long rackEpoch) {
+    sealedRacks.merge(rack, rackEpoch, Math::max);
+  }
+
+  /** Goes on from sealing once every rack has told what it runs, or from settling in time. */
+  synchronized Recovery advance(Set<RackId> racks, Instant now, Instant settleUntil) {
+    if (recovery == Recovery.SEALING && sealedRacks.keySet().containsAll(racks)) {
+      recovery = Recovery.SETTLING;
+      settledAt = settleUntil;
+    }
+    if (recovery == Recovery.SETTLING && !now.isBefore(settledAt)) {
+      recovery = Recovery.READY;
+    }
+    return recovery;
+  }
+
+  synchronized Recovery recovery() {
+    return recovery;
+  }
+
+  synchronized boolean startGangRestart(JobKey job) {
+    return restartingGangs.add(job);
+  }
+
+  synchronized boolean isGangRestarting(JobKey job) {
+    return restartingGangs.contains(job);
+  }
+
+  synchronized void endGangRestart(JobKey job) {
+    restartingGangs.remove(job);
+  }
+}
