--- /dev/null
+++ b/masticspread-state/src/main/java/org/masticspread/state/format/package-info.java
@@ -0,0 +1,2 @@
+/** Keys, formats and checksums of everything that is kept in the platform's stores. */
+package org.masticspread.state.format;
--- /dev/null
+++ b/masticspread-state/src/main/java/org/masticspread/state/internal/package-info.java
@@ -0,0 +1,2 @@
+/** Helpers of this module that are no part of its interface. */
+package org.masticspread.state.internal;
--- /dev/null
+++ b/masticspread-state/src/main/java/org/masticspread/state/journal/PendingQueue.java
@@ -0,0 +1,91 @@
+package org.masticspread.state.journal;
+
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import org.masticspread.model.id.ShardId;
+
+/**
+ * The records that no commit attempt holds, and the count of unsettled ones per shard. Thread-safe
+ * under its own lock, which is never held during a store call.
+ */
+final class PendingQueue {
+  private final JournalSettings settings;
+  private final JournalSink sink;
+  private final Deque<PendingAppend> waiting = new ArrayDeque<>();
+  private final Map<ShardId, Integer> unsettled = new HashMap<>();
+
+  PendingQueue(JournalSettings settings, JournalSink sink) {
+    this.settings = settings;
+    this.sink = sink;
+  }
+
+  /** Returns whether the record was queued; the check for the shard and the add are one step. */
+  synchronized boolean add(PendingAppend append) throws AppendException {
+    JournalEntry entry = append.entry();
+    if (!sink.accepts(entry.shard(), entry.epoch())) {
+      throw new NotOwnerException(entry.shard(), entry.epoch());
+    }
+    if (waiting.size() >= settings.maxPendingRecords()) {
+      return false;
+    }
+    waiting.addLast(append);
+    unsettled.merge(entry.shard(), 1, Integer::sum);
+    return true;
+  }
+
+  synchronized void takeInto(Collection<PendingAppend> group) {
+    int bytes = group.stream().mapToInt(PendingAppend::sizeBytes).sum();
+    while (!waiting.isEmpty()
+        && group.size() < settings.maxBatchRecords()
+        && bytes < settings.maxBatchBytes()) {
+      PendingAppend next = waiting.removeFirst();
+      bytes += next.sizeBytes();
+      group.add(next);
+    }
+  }
+
+  /** Puts records back in front, in their order. */
+  synchronized void putBack(List<PendingAppend> appends) {
+    for (int i = appends.size() - 1; i >= 0; i--) {
+      waiting.addFirst(appends.get(i));
+    }
+  }
+
+  synchronized List<PendingAppend> removeExpired(Instant now) {
+    List<PendingAppend> expired = new ArrayList<>();
+    for (Iterator<PendingAppend> i = waiting.iterator(); i.hasNext(); ) {
+      PendingAppend append = i.next();
+      if (append.isExpired(now)) {
+        expired.add(append);
+        i.remove();
+      }
+    }
+    return expired;
+  }
+
+  synchronized List<PendingAppend> removeAll() {
+    List<PendingAppend> all = new ArrayList<>(waiting);
+    waiting.clear();
+    return all;
+  }
+
+  synchronized void settled(PendingAppend append) {
+    unsettled.computeIfPresent(
+        append.entry().shard(), (shard, count) -> count == 1 ? null : count - 1);
+  }
+
+  synchronized int unsettled(ShardId shard) {
+    return unsettled.getOrDefault(shard, 0);
+  }
+
+  synchronized int unsettled() {
+    return unsettled.values().stream().mapToInt(Integer::intValue).sum();
+  }
+}
--- /dev/null
+++ b/masticspread-state/src/main/java/org/masticspread/state/ownership/ShardRecovery.java
@@ -0,0 +1,81 @@
+package org.masticspread.state.ownership;
+
+import java.util.Optional;
+import org.masticspread.model.id.ShardId;
+import org.masticspread.model.platform.ObjectStore;
+import org.masticspread.model.platform.StoreException;
+import org.masticspread.model.platform.TableService;
+import org.masticspread.model.work.Payload;
+import org.masticspread.state.format.RecordFormatException;
+import org.masticspread.state.format.RecordFormatException.Problem;
+import org.masticspread.state.journal.JournalBatch;
+import org.masticspread.state.journal.JournalEntry;
+import org.masticspread.state.journal.JournalReader;
+import org.masticspread.state.shard.Retention;
+import org.masticspread.state.shard.WorkShardState;
+
+/**
+ * Rebuilds the states of work shards from snapshots and journals, for one round of takeovers. Each
+ * journal is scanned once.
+ *
+ * <p>Example: {@code new ShardRecovery(table, objects, retention).recover(shard, row)}. Not
+ * thread-safe.
+ */
+public final class ShardRecovery {
+  private final ObjectStore objects;
+  private final Retention retention;
+  private final JournalReader journals;
+
+  /**
+   * Creates a round.
+   *
+   * @param table the table service
+   * @param objects the object store
+   * @param retention how long shards remember
+   */
+  public ShardRecovery(TableService table, ObjectStore objects, Retention retention) {
+    this.objects = objects;
+    this.retention = retention;
+    this.journals = new JournalReader(table);
+  }
+
+  /**
+   * Rebuilds a shard.
+   *
+   * @param shard the shard
+   * @param row its row
+   * @return the state
+   * @throws StoreException if a store does not answer
+   * @throws RecordFormatException if a record is torn, foreign, of a newer version or missing
+   */
+  public WorkShardState recover(ShardId shard, ShardRow row)
+      throws StoreException, RecordFormatException {
+    WorkShardState state = base(shard, row.snapshot());
+    for (Source source : row.sources()) {
+      for (JournalBatch batch : journals.read(source.incarnation(), source.fromSeq())) {
+        apply(state, source, batch);
+      }
+    }
+    return state;
+  }
+
+  private WorkShardState base(ShardId shard, String snapshot)
+      throws StoreException, RecordFormatException {
+    if (snapshot == null) {
+      return new WorkShardState(shard, retention);
+    }
+    Optional<Payload> content = objects.get(snapshot);
+    if (content.isEmpty()) {
+      throw new RecordFormatException(snapshot, Problem.MISSING, "the shard row refers to it");
+    }
+    return WorkShardState.restore(snapshot, shard, content.get(), retention);
+  }
+
+  private static void apply(WorkShardState state, Source source, JournalBatch batch) {
+    for (JournalEntry entry : batch.entries()) {
+      if (entry.shard().equals(state.shard()) && entry.epoch() == source.epoch()) {
+        state.apply(entry.record());
+      }
+    }
+  }
+}
--- /dev/null
+++ b/masticspread-state/src/main/java/org/masticspread/state/shard/RequestBegin.java
@@ -0,0 +1,28 @@
+package org.masticspread.state.shard;
+
+import org.masticspread.model.work.Answer;
+
+/**
+ * What a shard knows of a request that must run at most once.
+ *
+ * @param kind whether it is new
+ * @param answer the answer to give; null unless decided
+ */
+public record RequestBegin(Kind kind, Answer answer) {
+  /** Whether a request is new. */
+  public enum Kind {
+    /** New, and now held for this caller: append {@code RequestStarted}, then dispatch. */
+    NEW,
+    /** The same request is in flight here: wait for its answer. */
+    IN_FLIGHT,
+    /** Known or refused: give the answer. */
+    DECIDED
+  }
+
+  static final RequestBegin NEW = new RequestBegin(Kind.NEW, null);
+  static final RequestBegin IN_FLIGHT = new RequestBegin(Kind.IN_FLIGHT, null);
+
+  static RequestBegin decided(Answer answer) {
+    return new RequestBegin(Kind.DECIDED, answer);
+  }
+}
--- /dev/null
+++ b/masticspread-state/src/main/java/org/masticspread/state/shard/WorkShardState.java
@@ -0,0 +1,372 @@
+package org.masticspread.state.shard;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.masticspread.model.id.JobKey;
+import org.masticspread.model.id.RequestKey;
+import org.masticspread.model.id.ShardId;
+import org.masticspread.model.id.TaskKey;
+import org.masticspread.model.id.TeamId;
+import org.masticspread.model.id.WorkerId;
+import org.masticspread.model.result.ResultCode;
+import org.masticspread.model.work.Answer;
+import org.masticspread.model.work.JobSpec;
+import org.masticspread.model.work.JobView;
+import org.masticspread.model.work.Payload;
+import org.masticspread.model.work.RequestSpec;
+import org.masticspread.model.work.TaskPhase;
+import org.masticspread.model.work.TaskView;
+import org.masticspread.state.format.Envelope;
+import org.masticspread.state.format.RecordFormatException;
+import org.masticspread.state.format.RecordFormatException.Problem;
+import org.masticspread.state.format.RecordKind;
+
+/**
+ * The jobs and request records of one work shard. Only {@link #apply} changes what is durable; the
+ * journal calls it for each record once the record is durable, in the order of the journal.
+ *
+ * <p>Example: {@code state.beginRequest(spec, now)}; when the kind is NEW, append {@code
+ * RequestStarted} and dispatch once it is durable. Thread-safe: one lock per shard.
+ */
+public final class WorkShardState {
+  private final ShardId shard;
+  private final Retention retention;
+  private final ExpiredIds expired = new ExpiredIds();
+  private final RequestTable requests;
+  private final Map<JobKey, JobEntry> jobs = new HashMap<>();
+  private final Map<JobKey, JobSpec> pendingJobs = new HashMap<>();
+
+  /**
+   * Creates an empty shard.
+   *
+   * @param shard the shard
+   * @param retention how long it remembers
+   */
+  public WorkShardState(ShardId shard, Retention retention) {
+    this.shard = shard;
+    this.retention = retention;
+    this.requests = new RequestTable(retention, expired);
+  }
+
+  /**
+   * Reads a snapshot.
+   *
+   * @param name the name of the object, for errors
+   * @param shard the shard that it must be of
+   * @param content the bytes of {@link #snapshot}
+   * @param retention how long the shard remembers
+   * @return the state
+   * @throws RecordFormatException if the bytes are torn, foreign or of a newer version
+   */
+  public static WorkShardState restore(
+      String name, ShardId shard, Payload content, Retention retention)
+      throws RecordFormatException {
+    ShardSnapshot snapshot = Envelope.open(name, content, RecordKind.SNAPSHOT, ShardSnapshot.class);
+    if (!snapshot.shard().equals(shard)) {
+      throw new RecordFormatException(name, Problem.FOREIGN, "is of " + snapshot.shard());
+    }
+    WorkShardState state = new WorkShardState(shard, retention);
+    state.expired.restore(snapshot.expired());
+    state.requests.restore(snapshot.requests());
+    snapshot.jobs().forEach(row -> state.jobs.put(row.spec().key(), JobEntry.restore(row)));
+    return state;
+  }
+
+  /**
+   * Writes the durable state. Equal states give equal bytes.
+   *
+   * @return the bytes
+   */
+  public Payload snapshot() {
+    return Envelope.seal(RecordKind.SNAPSHOT, snapshotRecord());
+  }
+
+  private synchronized ShardSnapshot snapshotRecord() {
+    List<ShardSnapshot.JobRow> rows = new ArrayList<>();
+    for (JobEntry job : jobs.values()) {
+      rows.add(job.snapshot());
+    }
+    rows.sort(Comparator.comparing(row -> row.spec().key().toString()));
+    return new ShardSnapshot(shard, rows, requests.snapshot(), expired.snapshot());
+  }
+
+  /**
+   * Returns the shard.
+   *
+   * @return the shard
+   */
+  public ShardId shard() {
+    return shard;
+  }
+
+  /**
+   * Applies a durable change. A record about a job or request that is not known changes nothing,
+   * and neither does one that was applied before.
+   *
+   * @param record the record
+   */
+  public synchronized void apply(JournalRecord record) {
+    if (record instanceof JournalRecord.JobAccepted r) {
+      pendingJobs.remove(r.spec().key());
+      jobs.putIfAbsent(r.spec().key(), new JobEntry(r.spec(), r.at()));
+    } else if (record instanceof JournalRecord.TaskStartMarked r) {
+      entry(r.task()).ifPresent(job -> job.startMarked(r.task().index(), r.attempt()));
+    } else if (record instanceof JournalRecord.TaskEnded r) {
+      entry(r.task()).ifPresent(job -> job.taskEnded(r));
+    } else if (record instanceof JournalRecord.JobCancelled r) {
+      entry(r.job()).ifPresent(job -> job.cancelled(r.reason(), r.at()));
+    } else if (record instanceof JournalRecord.JobParked r) {
+      entry(r.job()).ifPresent(job -> job.parked(r.reason()));
+    } else if (record instanceof JournalRecord.JobResumed r) {
+      entry(r.job()).ifPresent(JobEntry::resumed);
+    } else if (record instanceof JournalRecord.RequestStarted r) {
+      requests.started(r);
+    } else if (record instanceof JournalRecord.RequestEnded r) {
+      requests.ended(r);
+    } else if (record instanceof JournalRecord.RecordsExpired r) {
+      forget(r);
+    }
+  }
+
+  private Optional<JobEntry> entry(JobKey job) {
+    return Optional.ofNullable(jobs.get(job));
+  }
+
+  private Optional<JobEntry> entry(TaskKey task) {
+    return entry(task.job()).filter(job -> job.has(task.index()));
+  }
+
+  private void forget(JournalRecord.RecordsExpired limits) {
+    expired.dropBefore(limits.hashesBefore());
+    expired.add(limits.at(), requests.dropBefore(limits.requestsBefore()));
+    List<JobKey> old = endedBefore(limits.jobsBefore());
+    old.forEach(jobs::remove);
+    expired.add(limits.at(), old.stream().map(WorkShardState::hashText).toList());
+  }
+
+  private List<JobKey> endedBefore(Instant instant) {
+    List<JobKey> old = new ArrayList<>();
+    for (JobEntry job : jobs.values()) {
+      if (job.endedAt() != null && job.endedAt().isBefore(instant)) {
+        old.add(job.spec().key());
+      }
+    }
+    return old;
+  }
+
+  private static String hashText(JobKey job) {
+    return "job\n" + job;
+  }
+
+  /**
+   * Returns the record that forgets what is past its retention.
+   *
+   * @param now the current time
+   * @return the record to append, or empty if nothing is due
+   */
+  public synchronized Optional<JournalRecord.RecordsExpired> dueExpiry(Instant now) {
+    var limits =
+        new JournalRecord.RecordsExpired(
+            now.minus(retention.requests()),
+            now.minus(retention.jobs()),
+            now.minus(retention.hashes()),
+            now);
+    boolean due =
+        requests.hasBefore(limits.requestsBefore())
+            || !endedBefore(limits.jobsBefore()).isEmpty()
+            || expired.hasBefore(limits.hashesBefore());
+    return due ? Optional.of(limits) : Optional.empty();
+  }
+
+  /**
+   * Looks a request up, and holds its id for this caller if it is new. After NEW the caller must
+   * append {@code RequestStarted}, or call {@link #abandonRequest} if that is certainly not
+   * written.
+   *
+   * @param request a request that is not idempotent
+   * @param now the current time
+   * @return whether it is new, in flight here, or decided
+   */
+  public synchronized RequestBegin beginRequest(RequestSpec request, Instant now) {
+    return requests.begin(request, now);
+  }
+
+  /**
+   * Frees the id of a request whose start mark is certainly not written.
+   *
+   * @param request the request
+   */
+  public synchronized void abandonRequest(RequestKey request) {
+    requests.abandon(request);
+  }
+
+  /**
+   * Returns the answer on record.
+   *
+   * @param request the request
+   * @return the answer; empty if there is no record or the request is in flight here
+   */
+  public synchronized Optional<Answer> answer(RequestKey request) {
+    return requests.answer(request);
+  }
+
+  /**
+   * Looks a job up, and holds its id for this caller if it is new. After NEW the caller must append
+   * {@code JobAccepted}, or call {@link #abandonJob} if that is certainly not written.
+   *
+   * @param job the job
+   * @return whether it is new, being accepted, or decided
+   */
+  public synchronized JobBegin beginJob(JobSpec job) {
+    JobSpec pending = pendingJobs.get(job.key());
+    if (pending != null) {
+      return pending.equals(job)
+          ? new JobBegin(JobBegin.Kind.IN_FLIGHT, ResultCode.ALREADY_ACCEPTED)
+          : decided(ResultCode.ID_REUSED);
+    }
+    JobEntry known = jobs.get(job.key());
+    if (known != null) {
+      boolean same = known.spec().equals(job);
+      return decided(same ? ResultCode.ALREADY_ACCEPTED : ResultCode.ID_REUSED);
+    }
+    if (expired.contains(hashText(job.key()))) {
+      return decided(ResultCode.RECORD_EXPIRED);
+    }
+    pendingJobs.put(job.key(), job);
+    return new JobBegin(JobBegin.Kind.NEW, ResultCode.ACCEPTED);
+  }
+
+  private static JobBegin decided(ResultCode code) {
+    return new JobBegin(JobBegin.Kind.DECIDED, code);
+  }
+
+  /**
+   * Frees the id of a job whose record is certainly not written.
+   *
+   * @param job the job
+   */
+  public synchronized void abandonJob(JobKey job) {
+    pendingJobs.remove(job);
+  }
+
+  /**
+   * Notes where an attempt is under way. Not durable: a new owner learns it from the rack owners.
+   *
+   * @param task the task
+   * @param attempt the attempt
+   * @param phase PLACING or RUNNING
+   * @param worker the worker, null while placing
+   */
+  public synchronized void taskUnderWay(
+      TaskKey task, int attempt, TaskPhase phase, WorkerId worker) {
+    entry(task).ifPresent(job -> job.underWay(task.index(), attempt, phase, worker));
+  }
+
+  /**
+   * Forgets where an attempt is under way, when it is known not to run; the task shows its durable
+   * phase again.
+   *
+   * @param task the task
+   * @param attempt the attempt
+   */
+  public synchronized void taskNotUnderWay(TaskKey task, int attempt) {
+    entry(task).ifPresent(job -> job.notUnderWay(task.index(), attempt));
+  }
+
+  /**
+   * Returns a task.
+   *
+   * @param task the task
+   * @return the task, or empty if it is not known
+   */
+  public synchronized Optional<TaskView> task(TaskKey task) {
+    return entry(task).map(job -> job.taskView(task.index()));
+  }
+
+  /**
+   * Returns how often a task was returned to wait by {@code TaskEnded}.
+   *
+   * @param task the task
+   * @return the count, 0 if the task is not known
+   */
+  public synchronized int tries(TaskKey task) {
+    return entry(task).map(job -> job.tries(task.index())).orElse(0);
+  }
+
+  /**
+   * Returns the tasks that were marked as started by a former owner and of which nothing more is
+   * known. They are never started again: adopt them when a rack owner reports them, or end them as
+   * UNKNOWN.
+   *
+   * @return the tasks
+   */
+  public synchronized List<TaskKey> unresolvedTasks() {
+    List<TaskKey> unresolved = new ArrayList<>();
+    for (JobEntry job : jobs.values()) {
+      for (int i = 0; i < job.tasks(); i++) {
+        if (job.isUnresolved(i)) {
+          unresolved.add(new TaskKey(job.spec().key(), i));
+        }
+      }
+    }
+    return unresolved;
+  }
+
+  /**
+   * Returns a job.
+   *
+   * @param job the job
+   * @return the job, or empty if it is not known
+   */
+  public synchronized Optional<JobView> job(JobKey job) {
+    return entry(job).map(JobEntry::view);
+  }
+
+  /**
+   * Returns jobs of a team in the order of their keys.
+   *
+   * @param team the team
+   * @param limit the most jobs to return
+   * @return the jobs
+   */
+  public synchronized List<JobView> jobs(TeamId team, int limit) {
+    return jobs.values().stream()
+        .filter(job -> job.spec().key().team().equals(team))
+        .sorted(Comparator.comparing(job -> job.spec().key().toString()))
+        .limit(limit)
+        .map(JobEntry::view)
+        .toList();
+  }
+
+  /**
+   * Returns the jobs with a task that has not ended or is still under way.
+   *
+   * @return the jobs in no order
+   */
+  public synchronized List<JobView> activeJobs() {
+    return jobs.values().stream().filter(job -> job.endedAt() == null).map(JobEntry::view).toList();
+  }
+
+  /**
+   * Returns the count of jobs.
+   *
+   * @return the count
+   */
+  public synchronized int jobCount() {
+    return jobs.size();
+  }
+
+  /**
+   * Returns the count of request records.
+   *
+   * @return the count
+   */
+  public synchronized int requestCount() {
+    return requests.size();
+  }
+}
