--- /dev/null
+++ b/masticspread-state/src/main/java/org/masticspread/state/guard/package-info.java
@@ -0,0 +1,2 @@
+/** Limits on calls to the platform's stores: concurrency, circuit, retry budget, counts. */
+package org.masticspread.state.guard;
--- /dev/null
+++ b/masticspread-state/src/main/java/org/masticspread/state/history/ConfigRules.java
@@ -0,0 +1,29 @@
+package org.masticspread.state.history;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.masticspread.model.id.VmId;
+import org.masticspread.state.history.Violation.Promise;
+
+/** The promise about the configuration: the revision in force on a VM never goes back. */
+final class ConfigRules {
+  private final Map<VmId, Long> inForce = new HashMap<>();
+  private final List<Violation> violations = new ArrayList<>();
+
+  void add(HistoryEvent event) {
+    if (!(event instanceof HistoryEvent.ConfigInForce change)) {
+      return;
+    }
+    Long before = inForce.put(change.vm(), change.revision());
+    if (before != null && before > change.revision()) {
+      String detail = "revision " + change.revision() + " came after " + before;
+      violations.add(new Violation(Promise.CONFIG_MONOTONIC, change.vm().toString(), detail));
+    }
+  }
+
+  List<Violation> violations() {
+    return violations;
+  }
+}
--- a/masticspread-state/src/main/java/org/masticspread/state/journal/Journal.java
+++ b/masticspread-state/src/main/java/org/masticspread/state/journal/Journal.java
@@ -4,7 +4,6 @@
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.ArrayList;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -27,10 +26,10 @@
 import org.masticspread.model.work.Payload;
 import org.masticspread.state.format.Envelope;
 import org.masticspread.state.format.RecordFormatException;
-import org.masticspread.state.format.RecordFormatException.Problem;
 import org.masticspread.state.format.RecordKind;
 import org.masticspread.state.format.StateKeys;
 import org.masticspread.state.internal.Backoff;
+import org.masticspread.state.journal.RowInDoubt.Attempt;
 import org.masticspread.state.session.FenceRow;
 import org.masticspread.state.session.SessionState;
 import org.masticspread.state.shard.JournalRecord;
@@ -53,14 +52,6 @@
   private static final int TRIM_ROWS = 100;
   private static final int RECORD_OVERHEAD_BYTES = 64;
 
-  /**
-   * A row whose answer was lost.
-   *
-   * @param content the bytes of the row
-   * @param appends its records
-   */
-  private record Attempt(Payload content, List<PendingAppend> appends) {}
-
   private final TableService table;
   private final VmIncarnation self;
   private final JournalSink sink;
@@ -69,7 +60,7 @@
   private final PendingQueue queue;
 
   private final ReentrantLock flushing = new ReentrantLock();
-  private final List<Attempt> inDoubt = new ArrayList<>();
+  private final RowInDoubt inDoubt = new RowInDoubt();
   private final List<Runnable> outcomes = new ArrayList<>();
   private final Backoff backoff;
   private long notBefore;
@@ -191,7 +182,7 @@
   private List<PendingAppend> nextGroup() {
     Instant now = clock.instant();
     List<PendingAppend> group = new ArrayList<>();
-    for (PendingAppend append : doubted()) {
+    for (PendingAppend append : inDoubt.appends()) {
       if (!append.isExpired(now)) {
         group.add(append);
       }
@@ -200,12 +191,6 @@
     return group;
   }
 
-  private Set<PendingAppend> doubted() {
-    Set<PendingAppend> appends = new LinkedHashSet<>();
-    inDoubt.forEach(attempt -> appends.addAll(attempt.appends()));
-    return appends;
-  }
-
   private void commit(List<PendingAppend> group) throws StoreException, RecordFormatException {
     List<JournalEntry> entries = group.stream().map(PendingAppend::entry).toList();
     Payload content = Envelope.seal(RecordKind.JOURNAL, new JournalBatch(self, nextSeq, entries));
@@ -235,7 +220,7 @@
   }
 
   private void putBackNew(List<PendingAppend> group) {
-    Set<PendingAppend> doubted = doubted();
+    Set<PendingAppend> doubted = inDoubt.appends();
     queue.putBack(group.stream().filter(append -> !doubted.contains(append)).toList());
   }
 
@@ -254,22 +239,13 @@
     String key = StateKeys.journal(self, nextSeq);
     Optional<Row> row = table.read(key);
     if (row.isPresent()) {
-      won(attemptOf(row.get()));
-    }
-  }
-
-  private Attempt attemptOf(Row row) throws RecordFormatException {
-    for (Attempt attempt : inDoubt) {
-      if (attempt.content().equals(row.value())) {
-        return attempt;
-      }
+      won(inDoubt.winner(row.get()));
     }
-    throw new RecordFormatException(row.key(), Problem.FOREIGN, "not written by this process");
   }
 
   /** The attempt holds the row for good; the others can't win any more. */
   private void won(Attempt winner) {
-    Set<PendingAppend> others = doubted();
+    Set<PendingAppend> others = inDoubt.appends();
     winner.appends().forEach(others::remove);
     inDoubt.clear();
     nextSeq++;
@@ -287,7 +263,7 @@
     }
     if (!inDoubt.isEmpty()) {
       boolean certain = FenceRow.read(table, self) != SessionState.COLLECTED;
-      Set<PendingAppend> lost = doubted();
+      Set<PendingAppend> lost = inDoubt.appends();
       inDoubt.clear();
       lost.forEach(append -> failLater(append, new FencedException(self, certain)));
     }
--- /dev/null
+++ b/masticspread-state/src/main/java/org/masticspread/state/journal/RowInDoubt.java
@@ -0,0 +1,55 @@
+package org.masticspread.state.journal;
+
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import org.masticspread.model.platform.Row;
+import org.masticspread.model.work.Payload;
+import org.masticspread.state.format.RecordFormatException;
+import org.masticspread.state.format.RecordFormatException.Problem;
+
+/**
+ * The commit attempts of one journal row whose answers were lost. At most one of them can take
+ * effect, since each depends on the row being absent. Guarded by the flush lock.
+ */
+final class RowInDoubt {
+  /**
+   * A commit attempt.
+   *
+   * @param content the bytes of the row
+   * @param appends its records
+   */
+  record Attempt(Payload content, List<PendingAppend> appends) {}
+
+  private final List<Attempt> attempts = new ArrayList<>();
+
+  void add(Attempt attempt) {
+    attempts.add(attempt);
+  }
+
+  boolean isEmpty() {
+    return attempts.isEmpty();
+  }
+
+  void clear() {
+    attempts.clear();
+  }
+
+  /** Returns the records of all attempts, in the order in which they were first tried. */
+  Set<PendingAppend> appends() {
+    Set<PendingAppend> appends = new LinkedHashSet<>();
+    attempts.forEach(attempt -> appends.addAll(attempt.appends()));
+    return appends;
+  }
+
+  /** Returns the attempt that a row was written by. */
+  Attempt winner(Row row) throws RecordFormatException {
+    for (Attempt attempt : attempts) {
+      if (attempt.content().equals(row.value())) {
+        return attempt;
+      }
+    }
+    throw new RecordFormatException(row.key(), Problem.FOREIGN, "not written by this process");
+  }
+}
