ctl: measure flood and measure wait on a virtual clock

Cause: floors, waits and deadlines under floods have to be measured next to baselines. Change: runs of the real scheduler and of fifo, strict-priority, round-robin and random against plain slots.

--- a/masticspread-ctl/src/main/java/org/masticspread/ctl/measure/MeasureCommand.java
+++ b/masticspread-ctl/src/main/java/org/masticspread/ctl/measure/MeasureCommand.java
@@ -1,5 +1,7 @@
 package org.masticspread.ctl.measure;
 
+import org.masticspread.ctl.measure.request.FloodCommand;
+import org.masticspread.ctl.measure.request.WaitCommand;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.ParameterException;
@@ -10,7 +12,7 @@
     name = "measure",
     mixinStandardHelpOptions = true,
     description = "Measures the decisions on a virtual clock, next to baselines in the same run.",
-    subcommands = {})
+    subcommands = {FloodCommand.class, WaitCommand.class})
 public final class MeasureCommand implements Runnable {
   @Spec private CommandSpec spec;
 
--- /dev/null
+++ b/masticspread-ctl/src/main/java/org/masticspread/ctl/measure/request/CentralQueuePolicy.java
@@ -0,0 +1,114 @@
+package org.masticspread.ctl.measure.request;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.function.IntUnaryOperator;
+import java.util.function.ToIntFunction;
+
+/** Baselines with one place to wait: groups of first-in-first-out queues, any free executor. */
+final class CentralQueuePolicy implements RequestPolicy {
+  private static final int QUEUE_LIMIT = 20_000;
+
+  private final ToIntFunction<Arrival> group;
+  private final boolean inTurn;
+  private final IntUnaryOperator place;
+  private final List<Deque<Arrival>> queues = new ArrayList<>();
+  private final List<Arrival> givenUp = new ArrayList<>();
+  private final Slots slots;
+  private int queued;
+  private int lastGroup;
+
+  private CentralQueuePolicy(
+      int groups,
+      ToIntFunction<Arrival> group,
+      boolean inTurn,
+      Deployment deployment,
+      IntUnaryOperator place) {
+    this.group = group;
+    this.inTurn = inTurn;
+    this.place = place;
+    this.slots = new Slots(deployment);
+    for (int i = 0; i < groups; i++) {
+      queues.add(new ArrayDeque<>());
+    }
+  }
+
+  /** Returns one queue for all; {@code place} draws the first executor to try. */
+  static RequestPolicy fifo(Deployment deployment, IntUnaryOperator place) {
+    return new CentralQueuePolicy(1, arrival -> 0, false, deployment, place);
+  }
+
+  /** Returns a queue for each urgency; the most urgent one goes first. */
+  static RequestPolicy strictPriority(Deployment deployment, IntUnaryOperator place) {
+    return new CentralQueuePolicy(3, Arrival::urgency, false, deployment, place);
+  }
+
+  /** Returns a queue for each team; they are served in turn. */
+  static RequestPolicy teamsInTurn(Deployment deployment, IntUnaryOperator place) {
+    int teams = deployment.configuration().teams().size();
+    return new CentralQueuePolicy(teams, Arrival::team, true, deployment, place);
+  }
+
+  @Override
+  public boolean offer(Arrival arrival, long now) {
+    if (queued >= QUEUE_LIMIT) {
+      return false;
+    }
+    queued++;
+    queues.get(group.applyAsInt(arrival)).add(arrival);
+    return true;
+  }
+
+  @Override
+  public Start next(long now) {
+    if (slots.free() == 0) {
+      return null;
+    }
+    Arrival arrival = take(now);
+    if (arrival == null) {
+      return null;
+    }
+    int executor = slots.firstFree(place.applyAsInt(slots.executors()));
+    slots.take(executor);
+    return new Start(arrival, executor, null);
+  }
+
+  private Arrival take(long now) {
+    int start = inTurn ? lastGroup + 1 : 0;
+    for (int i = 0; i < queues.size(); i++) {
+      int index = (start + i) % queues.size();
+      Arrival arrival = takeFrom(queues.get(index), now);
+      if (arrival != null) {
+        lastGroup = index;
+        return arrival;
+      }
+    }
+    return null;
+  }
+
+  private Arrival takeFrom(Deque<Arrival> queue, long now) {
+    while (!queue.isEmpty()) {
+      queued--;
+      Arrival arrival = queue.poll();
+      if (arrival.answerBy > now) {
+        return arrival;
+      }
+      givenUp.add(arrival);
+    }
+    return null;
+  }
+
+  @Override
+  public void finished(Start start, long took, long now) {
+    slots.release(start.executor());
+  }
+
+  @Override
+  public List<Arrival> givenUp(long now) {
+    List<Arrival> result = List.copyOf(givenUp);
+    givenUp.clear();
+    return result;
+  }
+}
--- /dev/null
+++ b/masticspread-ctl/src/main/java/org/masticspread/ctl/measure/request/RowMaker.java
@@ -0,0 +1,38 @@
+package org.masticspread.ctl.measure.request;
+
+import org.masticspread.ctl.measure.request.Run.Phases;
+
+/** Makes the rows of one run. */
+record RowMaker(String policy, String deployment, String scenario, Phases phases) {
+  private static final String ALL = "all";
+  private static final double P50 = 50;
+  private static final double P99 = 99;
+
+  RequestRow row(RequestStream stream, boolean flooded, StreamResult result, StreamResult calm) {
+    String team = stream.workClass().team().value();
+    return toRow(team, stream.workClass().name().value(), flooded, result, calm);
+  }
+
+  RequestRow rowOfAll(String workClass, StreamResult result) {
+    return toRow(ALL, workClass, false, result, result);
+  }
+
+  private RequestRow toRow(
+      String team, String workClass, boolean flooded, StreamResult result, StreamResult calm) {
+    double seconds = phases.counted().toNanos() / 1e9;
+    return new RequestRow(
+        policy,
+        deployment,
+        scenario,
+        team,
+        workClass,
+        flooded,
+        result.offered(),
+        result.inTime() / seconds,
+        calm.inTime() == 0 ? 0 : (double) result.inTime() / calm.inTime(),
+        result.waitMs(P50),
+        result.waitMs(P99),
+        result.responseMs(P99),
+        result.deadlinesMet());
+  }
+}
