--- a/masticspread-node/src/main/java/org/masticspread/node/config/NodeConfig.java
+++ b/masticspread-node/src/main/java/org/masticspread/node/config/NodeConfig.java
@@ -22,8 +22,8 @@
 /**
  * The configuration of this VM: follows the log in the store and the revisions that peers tell.
  *
- * <p>Example: {@code config.poll()} at each interval, {@code config.fetchFrom(vm)} when the digest of
- * a peer tells a higher revision.
+ * <p>Example: {@code config.poll()} at each interval, {@code config.fetchFrom(vm)} when the digest
+ * of a peer tells a higher revision.
  */
 public final class NodeConfig implements ConfigService {
   private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
@@ -84,8 +84,7 @@
             (fetched, thrown) -> {
               boolean newer = thrown == null && fetched.configuration() != null;
               if (newer && follower.offer(fetched.configuration())) {
-                LOG.atInfo().log(
-                    "config: revision %d in force, from %s", inForce().revision(), vm);
+                LOG.atInfo().log("config: revision %d in force, from %s", inForce().revision(), vm);
               }
             });
   }
--- a/masticspread-node/src/main/java/org/masticspread/node/job/GangRuns.java
+++ b/masticspread-node/src/main/java/org/masticspread/node/job/GangRuns.java
@@ -136,8 +136,7 @@
     }
 
     private void release(GangCommand.Release command) {
-      ReleaseGang message =
-          new ReleaseGang(command.rack(), gang.job().key(), command.attempt());
+      ReleaseGang message = new ReleaseGang(command.rack(), gang.job().key(), command.attempt());
       call(command.rack(), message, Acknowledged.class)
           .exceptionally(
               thrown -> {
@@ -221,8 +220,7 @@
       for (int index : indexes) {
         outcomes.put(
             index,
-            new TaskPlaced(
-                null, certain ? PlaceOutcome.NO_ROOM : PlaceOutcome.UNKNOWN, null));
+            new TaskPlaced(null, certain ? PlaceOutcome.NO_ROOM : PlaceOutcome.UNKNOWN, null));
       }
       if (placed != null) {
         placed.tasks().forEach(t -> outcomes.put(t.task().task().index(), t));
@@ -245,8 +243,7 @@
       runs.remove(gang.job().key());
       context
           .decisions()
-          .add(
-              DecisionLog.subject(gang.job().key()), "gang started", "all its tasks have room");
+          .add(DecisionLog.subject(gang.job().key()), "gang started", "all its tasks have room");
     }
 
     private void take(int index, TaskPlaced placed) {
--- /dev/null
+++ b/masticspread-node/src/main/java/org/masticspread/node/job/JobGate.java
@@ -0,0 +1,138 @@
+package org.masticspread.node.job;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import org.masticspread.model.id.JobKey;
+import org.masticspread.model.id.ShardId;
+import org.masticspread.model.id.TeamId;
+import org.masticspread.model.id.VmId;
+import org.masticspread.model.peer.CancelJob;
+import org.masticspread.model.peer.JobAnswered;
+import org.masticspread.model.peer.JobsListed;
+import org.masticspread.model.peer.ListJobs;
+import org.masticspread.model.peer.PeerException;
+import org.masticspread.model.peer.PeerMessage;
+import org.masticspread.model.peer.ReadJob;
+import org.masticspread.model.peer.SubmitJob;
+import org.masticspread.model.result.ResultCode;
+import org.masticspread.model.result.RunState;
+import org.masticspread.model.work.JobSpec;
+import org.masticspread.model.work.JobView;
+import org.masticspread.node.api.JobService;
+import org.masticspread.node.member.Members;
+import org.masticspread.node.member.PeerCalls;
+import org.masticspread.node.member.ShardCalls;
+import org.masticspread.state.ownership.ShardMap;
+
+/** Takes calls about jobs and sends them to the owner of their work shard. */
+public final class JobGate implements JobService {
+  private static final Duration READ_WITHIN = Duration.ofSeconds(5);
+
+  private final VmId self;
+  private final ShardCalls shards;
+  private final PeerCalls calls;
+  private final Members members;
+  private final ShardMap map;
+  private final InstantSource clock;
+
+  /**
+   * Creates the gate.
+   *
+   * @param self this VM
+   * @param shards calls owners of work shards
+   * @param calls calls VMs
+   * @param members knows the VMs
+   * @param map finds the work shard of a job
+   * @param clock the clock
+   */
+  public JobGate(
+      VmId self,
+      ShardCalls shards,
+      PeerCalls calls,
+      Members members,
+      ShardMap map,
+      InstantSource clock) {
+    this.self = self;
+    this.shards = shards;
+    this.calls = calls;
+    this.members = members;
+    this.map = map;
+    this.clock = clock;
+  }
+
+  @Override
+  public CompletionStage<JobAnswered> submit(JobSpec job, Instant acceptBy) {
+    ShardId shard = map.workShard(job.key());
+    return call(shard, new SubmitJob(shard, job, acceptBy), acceptBy);
+  }
+
+  @Override
+  public CompletionStage<JobAnswered> read(JobKey job) {
+    ShardId shard = map.workShard(job);
+    return call(shard, new ReadJob(shard, job), clock.instant().plus(READ_WITHIN));
+  }
+
+  @Override
+  public CompletionStage<JobAnswered> cancel(JobKey job, Instant acceptBy) {
+    ShardId shard = map.workShard(job);
+    return call(shard, new CancelJob(shard, job, acceptBy), acceptBy);
+  }
+
+  private CompletionStage<JobAnswered> call(ShardId shard, PeerMessage message, Instant until) {
+    return shards
+        .call(shard, message, JobAnswered.class, a -> a.code() == ResultCode.NOT_OWNER, until)
+        .handle(
+            (routed, thrown) ->
+                thrown == null ? answerOf(routed) : failed(PeerCalls.errorOf(thrown)));
+  }
+
+  /** A try that was not answered may still be accepted, so a refusal is not certain after one. */
+  private static JobAnswered answerOf(ShardCalls.Routed<JobAnswered> routed) {
+    JobAnswered answer = routed.answer();
+    boolean refused = answer.code().runState() == RunState.NOT_RUN && answer.code().isRetryable();
+    if (!routed.unanswered() || !refused) {
+      return answer;
+    }
+    return new JobAnswered(
+        ResultCode.OUTCOME_UNKNOWN,
+        answer.job(),
+        "an earlier try was not answered; then: " + answer.detail());
+  }
+
+  private static JobAnswered failed(PeerException e) {
+    ResultCode code =
+        e.mayHaveBeenSent() ? ResultCode.OUTCOME_UNKNOWN : ResultCode.STORE_UNAVAILABLE;
+    return new JobAnswered(code, null, e.getMessage());
+  }
+
+  @Override
+  public CompletionStage<List<JobView>> list(TeamId team, int limit) {
+    List<VmId> vms = new ArrayList<>(members.others());
+    vms.add(self);
+    List<CompletableFuture<List<JobView>>> parts = new ArrayList<>();
+    for (VmId vm : vms) {
+      parts.add(
+          calls
+              .call(vm, new ListJobs(team, limit), JobsListed.class, READ_WITHIN)
+              .thenApply(JobsListed::jobs)
+              .exceptionally(thrown -> List.of())
+              .toCompletableFuture());
+    }
+    return CompletableFuture.allOf(parts.toArray(CompletableFuture[]::new))
+        .thenApply(all -> merge(parts, limit));
+  }
+
+  private static List<JobView> merge(List<CompletableFuture<List<JobView>>> parts, int limit) {
+    return parts.stream()
+        .flatMap(p -> p.join().stream())
+        .sorted(Comparator.comparing(j -> j.spec().key().toString()))
+        .limit(limit)
+        .toList();
+  }
+}
--- /dev/null
+++ b/masticspread-node/src/main/java/org/masticspread/node/job/JobShards.java
@@ -0,0 +1,410 @@
+package org.masticspread.node.job;
+
+import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.stream.Collectors;
+import org.masticspread.model.config.Configuration;
+import org.masticspread.model.config.WorkerConfig;
+import org.masticspread.model.id.JobKey;
+import org.masticspread.model.id.RackId;
+import org.masticspread.model.id.ShardId;
+import org.masticspread.model.id.TaskKey;
+import org.masticspread.model.id.TeamId;
+import org.masticspread.model.peer.CancelJob;
+import org.masticspread.model.peer.JobAnswered;
+import org.masticspread.model.peer.JobsListed;
+import org.masticspread.model.peer.ListJobs;
+import org.masticspread.model.peer.ReadJob;
+import org.masticspread.model.peer.ReportTasks;
+import org.masticspread.model.peer.SubmitJob;
+import org.masticspread.model.peer.TasksAcknowledged;
+import org.masticspread.model.platform.WorkerTask;
+import org.masticspread.model.platform.WorkerTaskPhase;
+import org.masticspread.model.resource.ResourceVector;
+import org.masticspread.model.result.ResultCode;
+import org.masticspread.model.work.JobPhase;
+import org.masticspread.model.work.JobSpec;
+import org.masticspread.model.work.JobView;
+import org.masticspread.model.work.TaskPhase;
+import org.masticspread.model.work.TaskView;
+import org.masticspread.node.explain.DecisionLog;
+import org.masticspread.policy.placement.FitCheck;
+import org.masticspread.state.ownership.ShardMap;
+import org.masticspread.state.shard.Attempts;
+import org.masticspread.state.shard.JobBegin;
+import org.masticspread.state.shard.JournalRecord;
+import org.masticspread.state.shard.WorkShardState;
+
+/**
+ * The work shards that this VM owns: accepts jobs durably, starts their tasks, and takes their
+ * ends. Thread-safe.
+ *
+ * <p>Example: {@code shards.acquired(shard, epoch, state)} after a takeover, {@code
+ * shards.schedule()} and {@code shards.recover()} at intervals.
+ */
+public final class JobShards {
+  private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+
+  private final JobContext context;
+  private final ShardMap map;
+  private final Map<ShardId, JobShard> shards = new ConcurrentHashMap<>();
+  private final TaskStops stops;
+  private final TaskEnds ends;
+  private final GangRuns gangs;
+  private final TaskDispatch dispatch;
+  private final RackSeals seals;
+  private volatile Configuration configuration = Configuration.EMPTY;
+
+  /**
+   * Creates an owner of no shard.
+   *
+   * @param context the shared parts
+   * @param map finds the shard of a job
+   */
+  public JobShards(JobContext context, ShardMap map) {
+    this.context = context;
+    this.map = map;
+    this.stops = new TaskStops(context);
+    this.ends = new TaskEnds(context, stops);
+    this.gangs = new GangRuns(context, stops);
+    this.dispatch = new TaskDispatch(context, this::shardOf, gangs);
+    this.seals = new RackSeals(context, this::lostTask);
+  }
+
+  /**
+   * A shard that this VM owns.
+   *
+   * @param shard the shard
+   * @param epoch its epoch
+   * @param state its state
+   */
+  public record Owned(ShardId shard, long epoch, WorkShardState state) {}
+
+  /**
+   * Finds an owned shard.
+   *
+   * @param shard the shard
+   * @return the shard, or empty if it is not owned here
+   */
+  public Optional<Owned> owned(ShardId shard) {
+    return Optional.ofNullable(shards.get(shard)).map(s -> new Owned(s.id(), s.epoch(), s.state()));
+  }
+
+  private Optional<JobShard> shardOf(JobKey job) {
+    return Optional.ofNullable(shards.get(map.workShard(job)));
+  }
+
+  /**
+   * Takes over the configuration.
+   *
+   * @param newer the configuration in force
+   */
+  public void configure(Configuration newer) {
+    configuration = newer;
+    context.queue().configure(newer);
+  }
+
+  /**
+   * Starts to own a shard.
+   *
+   * @param shard the shard
+   * @param epoch its epoch
+   * @param state its recovered state
+   */
+  public void acquired(ShardId shard, long epoch, WorkShardState state) {
+    shards.put(shard, new JobShard(shard, epoch, state));
+    LOG.atInfo().log("jobs: owns %s under epoch %d, %d jobs", shard, epoch, state.jobCount());
+  }
+
+  /**
+   * Stops owning a shard.
+   *
+   * @param shard the shard
+   */
+  public void lost(ShardId shard) {
+    JobShard gone = shards.remove(shard);
+    if (gone == null) {
+      return;
+    }
+    for (JobView job : gone.state().activeJobs()) {
+      gangs.cancel(job.spec().key());
+      context.queue().cancel(job.spec().key());
+    }
+    LOG.atInfo().log("jobs: no longer owns %s", shard);
+  }
+
+  /** Starts the tasks whose turn it is and lets time pass for gangs. */
+  public void schedule() {
+    dispatch.round();
+    gangs.tick();
+  }
+
+  /** Seals racks and goes on with the recovery of shards. */
+  public void recover() {
+    seals.round(shards.values());
+    Instant now = context.clock().instant();
+    Set<RackId> racks =
+        configuration.workers().stream().map(WorkerConfig::rack).collect(Collectors.toSet());
+    for (JobShard shard : shards.values()) {
+      JobShard.Recovery before = shard.recovery();
+      JobShard.Recovery after = shard.advance(racks, now, now.plus(context.times().settle()));
+      if (after == JobShard.Recovery.READY && before != after) {
+        resume(shard);
+      }
+    }
+  }
+
+  /** Lets the tasks of former owners wait that do not run, and ends those whose fate is unknown. */
+  private void resume(JobShard shard) {
+    for (TaskKey task : shard.state().unresolvedTasks()) {
+      endUnresolved(shard, task);
+    }
+    for (JobView job : shard.state().activeJobs()) {
+      if (shard.state().isCancelled(job.spec().key())) {
+        stops.stop(shard, shard.placementsOf(job.spec().key()));
+      } else if (job.phase() != JobPhase.PARKED) {
+        enqueue(shard, job);
+      }
+    }
+    LOG.atInfo().log("jobs: %s has recovered", shard.id());
+  }
+
+  private void endUnresolved(JobShard shard, TaskKey task) {
+    int attempt = shard.state().task(task).map(TaskView::attempt).orElse(Attempts.NONE);
+    append(
+        shard,
+        new JournalRecord.TaskEnded(
+            task,
+            attempt,
+            TaskPhase.UNKNOWN,
+            null,
+            "its start was marked and no rack knows it",
+            context.clock().instant()));
+  }
+
+  private void append(JobShard shard, JournalRecord record) {
+    Instant until = context.clock().instant().plus(context.times().hold());
+    context
+        .journal()
+        .append(shard.id(), shard.epoch(), record, until)
+        .exceptionally(
+            thrown -> {
+              LOG.atWarning().log("jobs: %s: %s", shard.id(), thrown.getMessage());
+              return null;
+            });
+  }
+
+  private void enqueue(JobShard shard, JobView job) {
+    for (TaskView task : job.tasks()) {
+      TaskKey key = new TaskKey(job.spec().key(), task.index());
+      if (task.phase() == TaskPhase.WAITING && shard.placement(key).isEmpty()) {
+        int attempt = Attempts.next(shard.epoch(), task.attempt());
+        context.queue().add(job.spec(), job.acceptedAt(), task.index(), attempt);
+      }
+    }
+  }
+
+  private void lostTask(JobShard shard, Map.Entry<TaskKey, Placement> entry) {
+    WorkerTask lapsed =
+        new WorkerTask(
+            entry.getKey(),
+            entry.getValue().attempt(),
+            shard.id(),
+            WorkerTaskPhase.LAPSED,
+            ResourceVector.ZERO,
+            ResourceVector.ZERO,
+            Duration.ZERO,
+            false,
+            false);
+    ends.end(shard, lapsed, entry.getValue().worker())
+        .exceptionally(
+            thrown -> {
+              LOG.atWarning().log("jobs: %s: %s", entry.getKey(), thrown.getMessage());
+              return null;
+            });
+  }
+
+  /**
+   * Accepts a job durably.
+   *
+   * @param message the job
+   * @return what became of it
+   */
+  public CompletionStage<JobAnswered> submit(SubmitJob message) {
+    JobShard shard = shards.get(message.shard());
+    if (shard == null) {
+      return answered(ResultCode.NOT_OWNER, null, "the shard is not owned here");
+    }
+    JobSpec spec = message.job();
+    JobBegin begin = shard.state().beginJob(spec);
+    JobView known = shard.state().job(spec.key()).orElse(null);
+    return switch (begin.kind()) {
+      case DECIDED -> answered(begin.code(), known, "");
+      case IN_FLIGHT -> answered(ResultCode.NOT_OWNER, null, "the same job is being accepted");
+      case NEW -> accept(shard, spec, message.acceptBy());
+    };
+  }
+
+  private CompletionStage<JobAnswered> accept(JobShard shard, JobSpec spec, Instant acceptBy) {
+    Optional<FitCheck.Refusal> refusal = FitCheck.check(configuration, spec);
+    if (refusal.isPresent()) {
+      shard.state().abandonJob(spec.key());
+      return answered(refusal.get().code(), null, refusal.get().detail());
+    }
+    Instant now = context.clock().instant();
+    return context
+        .journal()
+        .append(shard.id(), shard.epoch(), new JournalRecord.JobAccepted(spec, now), acceptBy)
+        .handle((done, thrown) -> accepted(shard, spec, thrown));
+  }
+
+  private JobAnswered accepted(JobShard shard, JobSpec spec, Throwable thrown) {
+    if (thrown == null) {
+      JobView job = shard.state().job(spec.key()).orElseThrow();
+      enqueue(shard, job);
+      context.decisions().add(DecisionLog.subject(spec.key()), "accepted", "durable");
+      return new JobAnswered(ResultCode.ACCEPTED, job, "");
+    }
+    ResultCode code = ShardJournal.codeOf(thrown);
+    if (ShardJournal.isCertainlyNotWritten(thrown)) {
+      shard.state().abandonJob(spec.key());
+    }
+    return new JobAnswered(code, null, "not accepted: " + thrown.getMessage());
+  }
+
+  private static CompletionStage<JobAnswered> answered(
+      ResultCode code, JobView job, String detail) {
+    return CompletableFuture.completedFuture(new JobAnswered(code, job, detail));
+  }
+
+  /**
+   * Reads a job.
+   *
+   * @param message the job
+   * @return the job
+   */
+  public CompletionStage<JobAnswered> read(ReadJob message) {
+    JobShard shard = shards.get(message.shard());
+    if (shard == null) {
+      return answered(ResultCode.NOT_OWNER, null, "the shard is not owned here");
+    }
+    return shard
+        .state()
+        .job(message.job())
+        .map(j -> answered(ResultCode.OK, withWaitReasons(j), ""))
+        .orElseGet(() -> answered(ResultCode.NOT_FOUND, null, "job: no job " + message.job()));
+  }
+
+  private JobView withWaitReasons(JobView job) {
+    List<TaskView> tasks = new ArrayList<>();
+    for (TaskView task : job.tasks()) {
+      boolean waits = task.phase() == TaskPhase.WAITING;
+      tasks.add(waits ? withWaitReason(job.spec().key(), task) : task);
+    }
+    return new JobView(job.spec(), job.phase(), job.acceptedAt(), tasks, job.reason());
+  }
+
+  private TaskView withWaitReason(JobKey job, TaskView task) {
+    String reason =
+        context.queue().reason(new TaskKey(job, task.index())).map(r -> r.text()).orElse("");
+    return new TaskView(task.index(), task.phase(), task.attempt(), task.worker(), reason);
+  }
+
+  /**
+   * Cancels a job durably and stops what runs of it.
+   *
+   * @param message the job
+   * @return what became of it
+   */
+  public CompletionStage<JobAnswered> cancel(CancelJob message) {
+    JobShard shard = shards.get(message.shard());
+    if (shard == null) {
+      return answered(ResultCode.NOT_OWNER, null, "the shard is not owned here");
+    }
+    JobKey key = message.job();
+    Optional<JobView> job = shard.state().job(key);
+    if (job.isEmpty()) {
+      return answered(ResultCode.NOT_FOUND, null, "job: no job " + key);
+    }
+    if (job.get().phase().isTerminal()) {
+      return answered(ResultCode.OK, job.get(), "it has ended already");
+    }
+    JournalRecord record =
+        new JournalRecord.JobCancelled(key, "cancelled", context.clock().instant());
+    return context
+        .journal()
+        .append(shard.id(), shard.epoch(), record, message.acceptBy())
+        .handle((done, thrown) -> cancelled(shard, key, thrown));
+  }
+
+  private JobAnswered cancelled(JobShard shard, JobKey key, Throwable thrown) {
+    JobView job = shard.state().job(key).orElse(null);
+    if (thrown != null) {
+      return new JobAnswered(
+          ShardJournal.codeOf(thrown), job, "not cancelled: " + thrown.getMessage());
+    }
+    gangs.cancel(key);
+    context.queue().cancel(key);
+    stops.stop(shard, shard.placementsOf(key));
+    context.decisions().add(DecisionLog.subject(key), "cancelled", "asked for");
+    return new JobAnswered(ResultCode.OK, job, "");
+  }
+
+  /**
+   * Lists jobs of the owned shards.
+   *
+   * @param message the team and the most jobs to return
+   * @return the jobs
+   */
+  public JobsListed list(ListJobs message) {
+    Set<TeamId> teams =
+        message.team() == null
+            ? configuration.teams().stream().map(t -> t.name()).collect(Collectors.toSet())
+            : Set.of(message.team());
+    List<JobView> jobs = new ArrayList<>();
+    for (JobShard shard : shards.values()) {
+      teams.forEach(t -> jobs.addAll(shard.state().jobs(t, message.limit())));
+    }
+    jobs.sort(Comparator.comparing(j -> j.spec().key().toString()));
+    return new JobsListed(jobs.subList(0, Math.min(jobs.size(), message.limit())));
+  }
+
+  /**
+   * Takes in a report of a rack owner.
+   *
+   * @param message the report
+   * @return the attempts whose end is durable
+   */
+  public CompletionStage<TasksAcknowledged> report(ReportTasks message) {
+    JobShard shard = shards.get(message.workShard());
+    return shard == null
+        ? CompletableFuture.completedFuture(new TasksAcknowledged(List.of()))
+        : ends.report(shard, message);
+  }
+
+  /** Forgets records past their retention. */
+  public void forget() {
+    for (JobShard shard : shards.values()) {
+      shard.state().dueExpiry(context.clock().instant()).ifPresent(r -> append(shard, r));
+    }
+  }
+
+  /**
+   * Counts the tasks that wait on this VM.
+   *
+   * @return the number of tasks
+   */
+  public int waitingTasks() {
+    return context.queue().waiting();
+  }
+}
--- a/masticspread-node/src/main/java/org/masticspread/node/job/RackSeals.java
+++ b/masticspread-node/src/main/java/org/masticspread/node/job/RackSeals.java
@@ -80,19 +80,19 @@
         .calls()
         .call(owner, new SealShards(rack, epochs), ShardsSealed.class, timeout)
         .whenComplete(
-            (sealed, thrown) -> {
-              if (thrown == null && sealed.code() == ResultCode.OK) {
-                take(rack, rackEpoch, shards, sealed, asked);
+            (answer, thrown) -> {
+              if (thrown == null && answer.code() == ResultCode.OK) {
+                take(rack, rackEpoch, shards, answer, asked);
               }
             });
   }
 
   private void take(
-      RackId rack, long rackEpoch, List<JobShard> shards, ShardsSealed sealed, Instant asked) {
+      RackId rack, long rackEpoch, List<JobShard> shards, ShardsSealed answer, Instant asked) {
     Map<ShardId, Set<TaskKey>> listed = new HashMap<>();
     Map<ShardId, JobShard> byId = new HashMap<>();
     shards.forEach(s -> byId.put(s.id(), s));
-    for (RunningTask running : sealed.tasks()) {
+    for (RunningTask running : answer.tasks()) {
       JobShard shard = byId.get(running.workShard());
       if (shard != null) {
         listed.computeIfAbsent(shard.id(), s -> new HashSet<>()).add(running.task().task());
--- a/masticspread-node/src/main/java/org/masticspread/node/job/TaskDispatch.java
+++ b/masticspread-node/src/main/java/org/masticspread/node/job/TaskDispatch.java
@@ -15,6 +15,7 @@
 import org.masticspread.model.id.ShardId;
 import org.masticspread.model.id.VmId;
 import org.masticspread.model.id.WorkerId;
+import org.masticspread.model.peer.PeerException;
 import org.masticspread.model.peer.PlaceOutcome;
 import org.masticspread.model.peer.PlaceTask;
 import org.masticspread.model.peer.PlaceTasks;
@@ -37,8 +38,7 @@
   private final GangRuns gangs;
   private final Meter started;
 
-  TaskDispatch(
-      JobContext context, Function<JobKey, Optional<JobShard>> shards, GangRuns gangs) {
+  TaskDispatch(JobContext context, Function<JobKey, Optional<JobShard>> shards, GangRuns gangs) {
     this.context = context;
     this.shards = shards;
     this.gangs = gangs;
@@ -118,24 +118,21 @@
 
   private void note(JobShard shard, Assignment task, Instant startBefore) {
     Instant until = startBefore.plus(context.times().skewMargin());
-    shard.put(
-        task.task(), new Placement(task.attempt(), task.rack(), null, false, until, 0));
+    shard.put(task.task(), new Placement(task.attempt(), task.rack(), null, false, until, 0));
     shard.state().taskUnderWay(task.task(), task.attempt(), TaskPhase.PLACING, null);
   }
 
   private CompletionStage<TasksPlaced> callOwner(RackId rack, PlaceTasks message) {
     Optional<VmId> owner = context.members().ownerOf(ShardId.rack(rack));
     if (owner.isEmpty()) {
-      return CompletableFuture.failedFuture(
-          new org.masticspread.model.peer.PeerException(false, "no owner of " + rack, null));
+      return CompletableFuture.failedFuture(new PeerException(false, "no owner of " + rack, null));
     }
     return context
         .calls()
         .call(owner.get(), message, TasksPlaced.class, context.times().placeTimeout());
   }
 
-  private void take(
-      JobShard shard, List<Assignment> tasks, TasksPlaced placed, Throwable thrown) {
+  private void take(JobShard shard, List<Assignment> tasks, TasksPlaced placed, Throwable thrown) {
     boolean certain = thrown != null && !PeerCalls.errorOf(thrown).mayHaveBeenSent();
     Map<Integer, TaskPlaced> byPosition = new HashMap<>();
     for (int i = 0; placed != null && i < placed.tasks().size(); i++) {
--- a/masticspread-node/src/main/java/org/masticspread/node/job/TaskEnds.java
+++ b/masticspread-node/src/main/java/org/masticspread/node/job/TaskEnds.java
@@ -24,7 +24,9 @@
 import org.masticspread.state.shard.Attempts;
 import org.masticspread.state.shard.JournalRecord;
 
-/** Takes in ended and lost tasks: makes their end durable and lets those that may run again wait. */
+/**
+ * Takes in ended and lost tasks: makes their end durable and lets those that may run again wait.
+ */
 final class TaskEnds {
   private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
 
--- a/masticspread-node/src/main/java/org/masticspread/node/member/Gossip.java
+++ b/masticspread-node/src/main/java/org/masticspread/node/member/Gossip.java
@@ -13,7 +13,8 @@
 /**
  * Tells every peer how this VM is. Costs one message for each peer at each interval.
  *
- * <p>Example: {@code gossip.tell()} at each interval; {@code members.update(digest)} at the receiver.
+ * <p>Example: {@code gossip.tell()} at each interval; {@code members.update(digest)} at the
+ * receiver.
  */
 public final class Gossip {
   private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
--- a/masticspread-node/src/main/java/org/masticspread/node/member/ShardCalls.java
+++ b/masticspread-node/src/main/java/org/masticspread/node/member/ShardCalls.java
@@ -45,6 +45,15 @@
     this.scheduler = scheduler;
   }
 
+  /**
+   * The answer of an owner.
+   *
+   * @param answer the answer
+   * @param unanswered whether an earlier try may have reached an owner that did not answer
+   * @param <T> the kind of the answer
+   */
+  public record Routed<T extends PeerMessage>(T answer, boolean unanswered) {}
+
   /**
    * Calls the owner of a shard until it answers or the time is over.
    *
@@ -57,7 +66,7 @@
    * @return the answer; fails with a {@link PeerException} that tells whether any try may have
    *     reached an owner
    */
-  public <T extends PeerMessage> CompletionStage<T> call(
+  public <T extends PeerMessage> CompletionStage<Routed<T>> call(
       ShardId shard, PeerMessage message, Class<T> kind, Predicate<T> moved, Instant until) {
     Attempt<T> attempt = new Attempt<>(shard, message, kind, moved, until);
     attempt.next();
@@ -70,7 +79,7 @@
     private final Class<T> kind;
     private final Predicate<T> moved;
     private final Instant until;
-    private final CompletableFuture<T> result = new CompletableFuture<>();
+    private final CompletableFuture<Routed<T>> result = new CompletableFuture<>();
     private volatile boolean sent;
 
     Attempt(ShardId shard, PeerMessage message, Class<T> kind, Predicate<T> moved, Instant until) {
@@ -106,7 +115,7 @@
         pause();
         return;
       }
-      result.complete(answer);
+      result.complete(new Routed<>(answer, sent));
     }
 
     private void pause() {
--- a/masticspread-node/src/main/java/org/masticspread/node/rack/LeaseRenewal.java
+++ b/masticspread-node/src/main/java/org/masticspread/node/rack/LeaseRenewal.java
@@ -8,6 +8,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.Executor;
 import org.masticspread.model.id.ShardId;
 import org.masticspread.model.id.WorkerId;
 import org.masticspread.model.peer.ReportTasks;
@@ -34,28 +35,43 @@
   private final WorkerPort workers;
   private final TaskReports reports;
   private final Members members;
+  private final Executor executor;
 
   LeaseRenewal(
       RackTimes times,
       InstantSource clock,
       WorkerPort workers,
       TaskReports reports,
-      Members members) {
+      Members members,
+      Executor executor) {
     this.times = times;
     this.clock = clock;
     this.workers = workers;
     this.reports = reports;
     this.members = members;
+    this.executor = executor;
   }
 
-  /** Contacts each worker of a rack once. */
+  /** Contacts each worker of a rack that is not being contacted, side by side. */
   void contact(RackShard rack) {
-    rack.links().forEach((worker, link) -> contact(rack, worker, link));
+    rack.links()
+        .forEach((worker, link) -> executor.execute(() -> contactAlone(rack, worker, link)));
     rack.ledger()
         .dueOrders()
         .forEach(o -> WorkerOrders.send(workers, o.worker(), rack.epoch(), o.task(), o.order()));
   }
 
+  private void contactAlone(RackShard rack, WorkerId worker, WorkerLink link) {
+    if (!link.enter()) {
+      return;
+    }
+    try {
+      contact(rack, worker, link);
+    } finally {
+      link.leave();
+    }
+  }
+
   private void contact(RackShard rack, WorkerId worker, WorkerLink link) {
     try {
       if (link.needsSeal()) {
--- a/masticspread-node/src/main/java/org/masticspread/node/rack/RackOwner.java
+++ b/masticspread-node/src/main/java/org/masticspread/node/rack/RackOwner.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executor;
 import org.masticspread.model.config.Configuration;
 import org.masticspread.model.id.RackId;
 import org.masticspread.model.id.ShardId;
@@ -56,6 +57,7 @@
    * @param authority tells whether this VM may act
    * @param members knows the epochs that peers have told
    * @param reports takes what became of tasks to the owners of their work shards
+   * @param executor runs the contacts with workers
    */
   public RackOwner(
       RackTimes times,
@@ -63,14 +65,15 @@
       WorkerPort workers,
       Authority authority,
       Members members,
-      TaskReports reports) {
+      TaskReports reports,
+      Executor executor) {
     this.times = times;
     this.clock = clock;
     this.workers = workers;
     this.authority = authority;
     this.members = members;
     this.starter = new TaskStarter(times, clock, workers);
-    this.renewal = new LeaseRenewal(times, clock, workers, reports, members);
+    this.renewal = new LeaseRenewal(times, clock, workers, reports, members, executor);
   }
 
   /**
@@ -97,6 +100,15 @@
     renewal.contact(rack);
   }
 
+  /**
+   * Lets a rack go to another VM: nothing new starts there from here.
+   *
+   * @param shard the rack shard
+   */
+  public void release(ShardId shard) {
+    Optional.ofNullable(racks.get(shard.rackId())).ifPresent(RackShard::close);
+  }
+
   /**
    * Stops owning a rack.
    *
--- a/masticspread-node/src/main/java/org/masticspread/node/rack/RackShard.java
+++ b/masticspread-node/src/main/java/org/masticspread/node/rack/RackShard.java
@@ -40,6 +40,7 @@
   private final Instant acquiredAt;
   private final Map<WorkerId, WorkerLink> links = new HashMap<>();
   private final Map<ShardId, Long> shardEpochs = new HashMap<>();
+  private boolean closed;
 
   RackShard(RackId rack, long epoch, RackTimes times, InstantSource clock) {
     this.rack = rack;
@@ -72,6 +73,11 @@
     }
   }
 
+  /** Books nothing new from now on. */
+  synchronized void close() {
+    closed = true;
+  }
+
   synchronized Map<WorkerId, WorkerLink> links() {
     return Map.copyOf(links);
   }
@@ -87,6 +93,10 @@
    * @return the choices, or empty when the epoch is stale
    */
   synchronized Optional<List<Chosen>> book(PlaceTasks message) {
+    if (closed) {
+      return Optional.of(
+          message.tasks().stream().map(t -> new Chosen(t, Optional.empty())).toList());
+    }
     for (PlaceTask task : message.tasks()) {
       if (isStale(task.workShard(), message.shardEpoch())) {
         return Optional.empty();
--- a/masticspread-node/src/main/java/org/masticspread/node/rack/WorkerLink.java
+++ b/masticspread-node/src/main/java/org/masticspread/node/rack/WorkerLink.java
@@ -15,6 +15,7 @@
   private boolean sealed;
   private boolean lapsed;
   private int failures;
+  private boolean entered;
 
   /**
    * Creates a link to a worker that has not answered a seal yet.
@@ -25,6 +26,19 @@
     this.leasesUntil = leasesUntil;
   }
 
+  /** Begins a contact, unless one is under way. */
+  synchronized boolean enter() {
+    if (entered) {
+      return false;
+    }
+    entered = true;
+    return true;
+  }
+
+  synchronized void leave() {
+    entered = false;
+  }
+
   /** Tells whether the next contact must be a seal, which extends no lease. */
   synchronized boolean needsSeal() {
     return !sealed;
--- /dev/null
+++ b/masticspread-node/src/main/java/org/masticspread/node/request/RequestGate.java
@@ -0,0 +1,108 @@
+package org.masticspread.node.request;
+
+import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.Timer;
+import java.time.Instant;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.masticspread.model.id.ShardId;
+import org.masticspread.model.peer.PeerException;
+import org.masticspread.model.peer.RequestAnswered;
+import org.masticspread.model.peer.RunAtShard;
+import org.masticspread.model.result.ResultCode;
+import org.masticspread.model.result.RunState;
+import org.masticspread.model.work.Answer;
+import org.masticspread.model.work.RequestSpec;
+import org.masticspread.node.api.RequestService;
+import org.masticspread.node.member.PeerCalls;
+import org.masticspread.node.member.ShardCalls;
+import org.masticspread.state.ownership.ShardMap;
+
+/**
+ * Takes requests of callers: idempotent ones go to a home VM, others first to the owner of their
+ * work shard.
+ */
+public final class RequestGate implements RequestService {
+  private final HomeCalls homes;
+  private final ShardCalls shards;
+  private final ShardMap map;
+  private final MetricRegistry metrics;
+  private final Timer answered;
+  private final AtomicInteger inFlight = new AtomicInteger();
+
+  /**
+   * Creates the gate.
+   *
+   * @param homes runs idempotent requests
+   * @param shards calls owners of work shards
+   * @param map finds the work shard of a request
+   * @param metrics where it counts
+   */
+  public RequestGate(HomeCalls homes, ShardCalls shards, ShardMap map, MetricRegistry metrics) {
+    this.homes = homes;
+    this.shards = shards;
+    this.map = map;
+    this.metrics = metrics;
+    this.answered = metrics.timer("requests.answered");
+  }
+
+  @Override
+  public CompletionStage<Answer> run(RequestSpec request) {
+    inFlight.incrementAndGet();
+    Timer.Context time = answered.time();
+    CompletionStage<Answer> answer =
+        request.idempotent() ? homes.run(request) : runAtShard(request);
+    return answer.whenComplete(
+        (done, thrown) -> {
+          inFlight.decrementAndGet();
+          time.stop();
+          if (done != null) {
+            metrics.counter("requests.code." + done.code().number()).inc();
+          }
+        });
+  }
+
+  private CompletionStage<Answer> runAtShard(RequestSpec request) {
+    ShardId shard = map.workShard(request.key());
+    Instant until = request.answerBy();
+    return shards
+        .call(
+            shard,
+            new RunAtShard(shard, request),
+            RequestAnswered.class,
+            a -> a.answer().code() == ResultCode.NOT_OWNER,
+            until)
+        .handle(
+            (routed, thrown) ->
+                thrown == null
+                    ? answerOf(request, routed)
+                    : failed(request, PeerCalls.errorOf(thrown)));
+  }
+
+  /** A try that was not answered may still arrive, so "not run" is not certain after one. */
+  private static Answer answerOf(RequestSpec request, ShardCalls.Routed<RequestAnswered> routed) {
+    Answer answer = routed.answer().answer();
+    if (routed.unanswered() && answer.code().runState() == RunState.NOT_RUN) {
+      return Answer.of(
+          request.key(),
+          ResultCode.OUTCOME_UNKNOWN,
+          "an earlier try was not answered; then: " + answer.detail());
+    }
+    return answer;
+  }
+
+  private static Answer failed(RequestSpec request, PeerException e) {
+    ResultCode code =
+        e.mayHaveBeenSent() ? ResultCode.OUTCOME_UNKNOWN : ResultCode.STORE_UNAVAILABLE;
+    return Answer.of(request.key(), code, e.getMessage());
+  }
+
+  /**
+   * Counts the requests in flight.
+   *
+   * @return the number of requests
+   */
+  public int inFlight() {
+    return inFlight.get();
+  }
+}
--- a/masticspread-policy/src/main/java/org/masticspread/policy/gang/GangPlanner.java
+++ b/masticspread-policy/src/main/java/org/masticspread/policy/gang/GangPlanner.java
@@ -189,9 +189,8 @@
 
   private List<GangCommand> start() {
     phase = Phase.STARTED;
-    Map<RackId, Integer> shares = new TreeMap<>();
-    held.forEach((rack, h) -> shares.put(rack, h.tasks()));
-    List<GangCommand> commands = new ArrayList<>(List.of(new GangCommand.Start(shares)));
+    List<GangCommand> commands = new ArrayList<>();
+    commands.add(new GangCommand.Start(shares()));
     touched.stream()
         .filter(rack -> !held.containsKey(rack))
         .sorted()
@@ -199,6 +198,12 @@
     return commands;
   }
 
+  private Map<RackId, Integer> shares() {
+    Map<RackId, Integer> shares = new TreeMap<>();
+    held.forEach((rack, h) -> shares.put(rack, h.tasks()));
+    return shares;
+  }
+
   private List<GangCommand> holdOn(Instant now) {
     if (!now.isBefore(holdUntil)) {
       return giveUp(now);
--- a/masticspread-state/src/main/java/org/masticspread/state/shard/WorkShardState.java
+++ b/masticspread-state/src/main/java/org/masticspread/state/shard/WorkShardState.java
@@ -327,6 +327,16 @@
     return entry(job).map(JobEntry::view);
   }
 
+  /**
+   * Tells whether a job was cancelled.
+   *
+   * @param job the job
+   * @return whether it was; false if it is not known
+   */
+  public synchronized boolean isCancelled(JobKey job) {
+    return entry(job).map(JobEntry::isCancelled).orElse(false);
+  }
+
   /**
    * Returns jobs of a team in the order of their keys.
    *
