Node: wiring of request, job, rack and state parts

Cause: the thin whole path needs every part of a node in one process. Change: at-most-once runner, endpoint home and its moves, gates, loops, status.

--- a/masticspread-node/src/main/java/org/masticspread/node/job/JobShard.java
+++ b/masticspread-node/src/main/java/org/masticspread/node/job/JobShard.java
@@ -35,6 +35,7 @@
   private final Set<JobKey> restartingGangs = new HashSet<>();
   private Recovery recovery = Recovery.SEALING;
   private Instant settledAt;
+  private boolean releasing;
 
   JobShard(ShardId id, long epoch, WorkShardState state) {
     this.id = id;
@@ -54,6 +55,17 @@
     return state;
   }
 
+  /** Marks the shard as about to move; returns whether it was not marked before. */
+  synchronized boolean release() {
+    boolean first = !releasing;
+    releasing = true;
+    return first;
+  }
+
+  synchronized boolean isReleasing() {
+    return releasing;
+  }
+
   synchronized void put(TaskKey task, Placement placement) {
     placements.put(task, placement);
   }
--- a/masticspread-node/src/main/java/org/masticspread/node/job/JobShards.java
+++ b/masticspread-node/src/main/java/org/masticspread/node/job/JobShards.java
@@ -126,6 +126,18 @@
     LOG.atInfo().log("jobs: owns %s under epoch %d, %d jobs", shard, epoch, state.jobCount());
   }
 
+  /**
+   * Lets a shard go to another VM: nothing new is taken or started for it from here.
+   *
+   * @param shard the shard
+   */
+  public void release(ShardId shard) {
+    JobShard owned = shards.get(shard);
+    if (owned != null && owned.release()) {
+      forgetWaiting(owned);
+    }
+  }
+
   /**
    * Stops owning a shard.
    *
@@ -136,11 +148,15 @@
     if (gone == null) {
       return;
     }
-    for (JobView job : gone.state().activeJobs()) {
+    forgetWaiting(gone);
+    LOG.atInfo().log("jobs: no longer owns %s", shard);
+  }
+
+  private void forgetWaiting(JobShard shard) {
+    for (JobView job : shard.state().activeJobs()) {
       gangs.cancel(job.spec().key());
       context.queue().cancel(job.spec().key());
     }
-    LOG.atInfo().log("jobs: no longer owns %s", shard);
   }
 
   /** Starts the tasks whose turn it is and lets time pass for gangs. */
@@ -242,7 +258,7 @@
    */
   public CompletionStage<JobAnswered> submit(SubmitJob message) {
     JobShard shard = shards.get(message.shard());
-    if (shard == null) {
+    if (shard == null || shard.isReleasing()) {
       return answered(ResultCode.NOT_OWNER, null, "the shard is not owned here");
     }
     JobSpec spec = message.job();
--- /dev/null
+++ b/masticspread-node/src/main/java/org/masticspread/node/launch/Node.java
@@ -0,0 +1,414 @@
+package org.masticspread.node.launch;
+
+import com.codahale.metrics.MetricRegistry;
+import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.Executor;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.stream.Collectors;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.masticspread.model.config.Configuration;
+import org.masticspread.model.id.RackId;
+import org.masticspread.model.id.ShardKind;
+import org.masticspread.model.id.VmId;
+import org.masticspread.model.id.VmIncarnation;
+import org.masticspread.model.peer.Digest;
+import org.masticspread.model.peer.PeerException;
+import org.masticspread.model.peer.PeerHandler;
+import org.masticspread.model.peer.PeerMessage;
+import org.masticspread.model.peer.PeerPort;
+import org.masticspread.model.peer.ReportTasks;
+import org.masticspread.model.peer.ShardEpoch;
+import org.masticspread.model.peer.TasksAcknowledged;
+import org.masticspread.model.platform.Member;
+import org.masticspread.model.platform.MembershipView;
+import org.masticspread.model.platform.TaskAttempt;
+import org.masticspread.model.result.MasticspreadException;
+import org.masticspread.node.api.ApiRoutes;
+import org.masticspread.node.api.Tokens;
+import org.masticspread.node.config.NodeConfig;
+import org.masticspread.node.explain.DecisionLog;
+import org.masticspread.node.job.JobContext;
+import org.masticspread.node.job.JobGate;
+import org.masticspread.node.job.JobShards;
+import org.masticspread.node.job.JobTimes;
+import org.masticspread.node.member.Authority;
+import org.masticspread.node.member.Gossip;
+import org.masticspread.node.member.Members;
+import org.masticspread.node.member.PeerCalls;
+import org.masticspread.node.member.ShardCalls;
+import org.masticspread.node.rack.RackOwner;
+import org.masticspread.node.rack.RackTimes;
+import org.masticspread.node.request.AtMostOnce;
+import org.masticspread.node.request.EndpointHome;
+import org.masticspread.node.request.HomeCalls;
+import org.masticspread.node.request.HomeMoves;
+import org.masticspread.node.request.RepeatBudget;
+import org.masticspread.node.request.RequestGate;
+import org.masticspread.node.settings.NodeSettings;
+import org.masticspread.policy.estimate.Estimates;
+import org.masticspread.policy.health.TroubleDetector;
+import org.masticspread.policy.jobs.JobQueue;
+import org.masticspread.policy.request.RequestScheduler;
+import org.masticspread.state.config.ConfigLog;
+import org.masticspread.state.ownership.ShardMap;
+
+/**
+ * One node: every part, wired together. It listens nowhere itself.
+ *
+ * <p>Example: {@code Node node = Node.of(settings, platform, InstantSource.system());
+ * node.connect(peers); node.start();}.
+ */
+public final class Node implements AutoCloseable {
+  private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+  private static final Duration HOME_TICK = Duration.ofMillis(10);
+  private static final Duration SCHEDULE_TICK = Duration.ofMillis(50);
+  private static final Duration WITHDRAW_TICK = Duration.ofMillis(50);
+  private static final Duration SECOND = Duration.ofSeconds(1);
+  private static final Duration FORGET_TICK = Duration.ofMinutes(1);
+  private static final Duration PLACE_WINDOW = Duration.ofSeconds(2);
+  private static final Duration PLACE_TIMEOUT = Duration.ofSeconds(4);
+  private static final Duration DURABLE_HOLD = Duration.ofHours(2);
+  private static final double REPEAT_PART = 0.1;
+  private static final double MOST_REPEATS = 20;
+  private static final int LEASE_PARTS = 3;
+
+  private final NodeSettings settings;
+  private final Platform platform;
+  private final InstantSource clock;
+  private final Threads threads = new Threads();
+  private final Loops loops = new Loops(threads.loops());
+  private final MetricRegistry metrics = new MetricRegistry();
+  private final UniformRandomProvider random = RandomSource.XO_SHI_RO_256_PP.create();
+  private final Members members;
+  private final NodeState state;
+  private final NodeConfig config;
+  private final EndpointHome home;
+  private final HomeMoves moves;
+  private final JobShards jobs;
+  private final RackOwner racks;
+  private final AtMostOnce atMostOnce;
+  private final RequestGate requests;
+  private final JobGate jobGate;
+  private final NodeStatus status;
+  private final Gossip gossip;
+  private final PeerCalls calls;
+  private final PeerHandler handler;
+  private ShardEvents events;
+  private volatile PeerPort peers = Node::unreachable;
+  private volatile boolean stopping;
+  private volatile boolean started;
+
+  private Node(NodeSettings settings, Platform platform, InstantSource clock) {
+    this.settings = settings;
+    this.platform = platform;
+    this.clock = clock;
+    NodeSettings.Timing timing = settings.timing();
+    VmId self = settings.vm();
+    members = new Members(self, System::nanoTime, timing.gossip().multipliedBy(4));
+    state = new NodeState(settings, platform, clock, random, metrics, () -> events);
+    Authority authority = new SessionAuthority(self, state.session(), members);
+    DecisionLog decisions = new DecisionLog(self, clock);
+    ShardMap map = state.map();
+    calls = new PeerCalls(self, (to, m, t) -> peers.call(to, m, t), (from, m) -> handle(from, m));
+    config = new NodeConfig(new ConfigLog(state.table(), clock, () -> UUID.randomUUID() + ""));
+    RequestScheduler scheduler = RequestScheduler.clockedBy(clock).seededBy(random.nextLong());
+    home = new EndpointHome(scheduler, platform.endpoints(), clock, metrics);
+    moves = new HomeMoves(self, home, members, calls, map, clock, timing.longestAnswer());
+    HomeCalls homes =
+        new HomeCalls(
+            members,
+            calls,
+            clock,
+            decisions,
+            new RepeatBudget(REPEAT_PART, MOST_REPEATS),
+            bound -> ThreadLocalRandom.current().nextInt(bound));
+    ShardCalls shardCalls = new ShardCalls(members, calls, clock, threads.timers());
+    RackTimes rackTimes = new RackTimes(timing.workerLease(), timing.skewMargin(), PLACE_WINDOW);
+    racks =
+        new RackOwner(
+            rackTimes,
+            clock,
+            platform.workers(),
+            authority,
+            members,
+            this::report,
+            threads.blocking());
+    Estimates estimates = new Estimates();
+    JobContext context =
+        new JobContext(
+            clock,
+            new JobTimes(
+                PLACE_WINDOW,
+                PLACE_TIMEOUT,
+                timing.skewMargin(),
+                timing.workerLease().dividedBy(2),
+                DURABLE_HOLD),
+            state::append,
+            members,
+            calls,
+            authority,
+            new JobQueue(estimates, clock, random.nextLong()),
+            estimates,
+            new TroubleDetector(clock),
+            decisions,
+            metrics);
+    jobs = new JobShards(context, map);
+    atMostOnce =
+        new AtMostOnce(
+            jobs::owned, state::append, homes, authority, clock, threads.timers(), decisions);
+    requests = new RequestGate(homes, shardCalls, map, metrics);
+    jobGate = new JobGate(self, shardCalls, calls, members, map, clock);
+    status = new NodeStatus(self, members, calls, config, this::isReady, settings.workShards());
+    gossip = new Gossip(members, calls, this::digest, timing.gossip().multipliedBy(2), metrics);
+    handler =
+        new PeerDispatch(
+            members, home, atMostOnce, jobs, racks, config, decisions, threads.blocking());
+    events = new ShardEvents(jobs, racks, atMostOnce, clock, threads.blocking());
+    config.onChange(this::configure);
+  }
+
+  /**
+   * Wires a node.
+   *
+   * @param settings its settings
+   * @param platform the platform
+   * @param clock the clock
+   * @return the node, not started
+   */
+  public static Node of(NodeSettings settings, Platform platform, InstantSource clock) {
+    return new Node(settings, platform, clock);
+  }
+
+  /**
+   * Connects the node to its peers; without it the node is alone.
+   *
+   * @param port calls to other VMs
+   */
+  public void connect(PeerPort port) {
+    peers = port;
+  }
+
+  /** Starts every loop. The session opens as soon as the store answers. */
+  public void start() {
+    NodeSettings.Timing timing = settings.timing();
+    membership();
+    loops.every("session", timing.heartbeat(), state::heartbeat);
+    loops.every("ownership", timing.heartbeat(), this::own);
+    loops.every("membership", SECOND, this::membership);
+    loops.every("journal", this::flushInterval, state::flush);
+    loops.every("withdraw", WITHDRAW_TICK, state::withdrawExpired);
+    loops.every("gossip", timing.gossip(), this::tell);
+    loops.every("config", SECOND, config::poll);
+    loops.every("home", HOME_TICK, home::tick);
+    loops.every("homes", timing.gossip(), moves::update);
+    loops.every("schedule", SCHEDULE_TICK, jobs::schedule);
+    loops.every("recovery", SECOND, jobs::recover);
+    loops.every("forget", FORGET_TICK, jobs::forget);
+    loops.every("leases", timing.workerLease().dividedBy(LEASE_PARTS), racks::renew);
+    started = true;
+    LOG.atInfo().log("node: %s started", settings.vm());
+  }
+
+  private void configure(Configuration configuration) {
+    jobs.configure(configuration);
+    racks.configure(configuration);
+    moves.configure(configuration);
+  }
+
+  private void own() {
+    Set<RackId> rackIds =
+        config.inForce().workers().stream().map(w -> w.rack()).collect(Collectors.toSet());
+    state.own(members, rackIds);
+  }
+
+  private void membership() {
+    try {
+      platform.membership().register(member());
+      MembershipView view = platform.membership().read();
+      members.update(view);
+    } catch (MasticspreadException e) {
+      LOG.atWarning().log("member: the list did not answer: %s", e.getMessage());
+    }
+  }
+
+  private Member member() {
+    return new Member(
+        settings.vm(), settings.dataCentre(), settings.listenPeers().toString(), stopping);
+  }
+
+  private void tell() {
+    gossip.tell();
+    config.fetch(members, calls);
+  }
+
+  private Duration flushInterval() {
+    return state.flushInterval(Math.max(1, members.staying().size()));
+  }
+
+  private Digest digest() {
+    List<ShardEpoch> work = new ArrayList<>();
+    state
+        .held()
+        .forEach(
+            (shard, epoch) -> {
+              if (shard.kind() == ShardKind.WORK) {
+                work.add(new ShardEpoch(shard, epoch));
+              }
+            });
+    VmIncarnation self = state.incarnation().orElseGet(() -> new VmIncarnation(settings.vm(), 0));
+    return new Digest(
+        self,
+        config.inForce().revision(),
+        stopping,
+        state.storeReached(),
+        home.digest(),
+        racks.digests(),
+        work,
+        members.rackEpochs(),
+        new ArrayList<>(members.leavingListed()));
+  }
+
+  private CompletionStage<List<TaskAttempt>> report(ReportTasks report) {
+    Optional<VmId> owner = members.ownerOf(report.workShard());
+    if (owner.isEmpty()) {
+      return CompletableFuture.failedFuture(
+          new PeerException(false, "no owner of " + report.workShard(), null));
+    }
+    return calls
+        .call(owner.get(), report, TasksAcknowledged.class, PLACE_TIMEOUT)
+        .thenApply(TasksAcknowledged::tasks);
+  }
+
+  private static CompletionStage<PeerMessage> unreachable(
+      VmId to, PeerMessage message, Duration timeout) {
+    return CompletableFuture.failedFuture(new PeerException(false, to + " is not connected", null));
+  }
+
+  private CompletionStage<PeerMessage> handle(VmId from, PeerMessage message) {
+    return handler.handle(from, message);
+  }
+
+  /**
+   * Returns what answers the messages of other VMs.
+   *
+   * @return the handler
+   */
+  public PeerHandler handler() {
+    return this::handle;
+  }
+
+  /**
+   * Finds the address of a VM.
+   *
+   * @param vm the VM
+   * @return host and port of its inner protocol, or empty if it is not listed
+   */
+  public Optional<String> addressOf(VmId vm) {
+    return members.addressOf(vm);
+  }
+
+  /**
+   * Returns the calls of the HTTP interface.
+   *
+   * @return the calls
+   */
+  public ApiRoutes routes() {
+    return new ApiRoutes(
+        new ApiRoutes.Services(
+            requests,
+            jobGate,
+            config,
+            status,
+            new Tokens(settings.operatorTokens(), settings.clusterKey()),
+            metrics,
+            clock,
+            settings.timing().longestAnswer()));
+  }
+
+  /**
+   * Returns the executor of the HTTP interface.
+   *
+   * @return the executor of calls that may block on the store
+   */
+  public Executor executor() {
+    return threads.blocking();
+  }
+
+  /**
+   * Returns the metrics.
+   *
+   * @return the registry
+   */
+  public MetricRegistry metrics() {
+    return metrics;
+  }
+
+  /**
+   * Returns the configuration service.
+   *
+   * @return the configuration
+   */
+  public NodeConfig config() {
+    return config;
+  }
+
+  private boolean isReady() {
+    return started && !stopping && config.inForce().revision() > 0;
+  }
+
+  /**
+   * Counts what is in flight here, for a graceful stop.
+   *
+   * @return what is in flight to how much
+   */
+  public Map<String, Integer> inFlight() {
+    Map<String, Integer> left = new HashMap<>();
+    left.put("requests", requests.inFlight());
+    left.put("home", home.inFlight());
+    left.put("atMostOnce", atMostOnce.inFlight());
+    return left;
+  }
+
+  /** Tells everyone that this node is about to stop; it takes no new work from callers. */
+  public void leave() {
+    stopping = true;
+    membership();
+    gossip.tell();
+  }
+
+  /**
+   * Hands over shards until none is left.
+   *
+   * @param until when to give up
+   * @return whether nothing is left
+   */
+  public boolean handOver(Instant until) {
+    return state.handOver(until);
+  }
+
+  @Override
+  public void close() {
+    loops.close();
+    state.close();
+    try {
+      platform.membership().deregister(settings.vm());
+    } catch (MasticspreadException e) {
+      LOG.atWarning().log("member: not taken off the list: %s", e.getMessage());
+    }
+    threads.close();
+    LOG.atInfo().log("node: %s stopped", settings.vm());
+  }
+}
--- /dev/null
+++ b/masticspread-node/src/main/java/org/masticspread/node/launch/NodeState.java
@@ -0,0 +1,246 @@
+package org.masticspread.node.launch;
+
+import com.codahale.metrics.MetricRegistry;
+import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.Collection;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Supplier;
+import java.util.function.ToLongFunction;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.masticspread.model.id.RackId;
+import org.masticspread.model.id.ShardId;
+import org.masticspread.model.id.VmId;
+import org.masticspread.model.id.VmIncarnation;
+import org.masticspread.model.platform.TableService;
+import org.masticspread.model.result.MasticspreadException;
+import org.masticspread.model.result.ResultCode;
+import org.masticspread.node.member.Members;
+import org.masticspread.node.settings.NodeSettings;
+import org.masticspread.state.journal.Journal;
+import org.masticspread.state.journal.JournalSettings;
+import org.masticspread.state.ownership.OwnershipListener;
+import org.masticspread.state.ownership.OwnershipSettings;
+import org.masticspread.state.ownership.ShardMap;
+import org.masticspread.state.ownership.ShardOwnership;
+import org.masticspread.state.ownership.ShardStates;
+import org.masticspread.state.session.SessionKeeper;
+import org.masticspread.state.session.SessionTiming;
+import org.masticspread.state.session.SessionView;
+import org.masticspread.state.session.SessionWatcher;
+import org.masticspread.state.shard.JournalRecord;
+import org.masticspread.state.shard.Retention;
+
+/**
+ * The durable side of a node: session, journal and ownership. They come into being once the store
+ * has opened the session; until then nothing is owned and nothing durable is taken.
+ */
+final class NodeState {
+  private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+  private static final Duration JOBS_KEPT = Duration.ofDays(1);
+  private static final Duration STOP_STEP = Duration.ofMillis(50);
+
+  private final NodeSettings settings;
+  private final Platform platform;
+  private final InstantSource clock;
+  private final UniformRandomProvider random;
+  private final ShardMap map;
+  private final SessionKeeper session;
+  private final SessionWatcher watcher;
+  private final Supplier<? extends OwnershipListener> listener;
+  private volatile Durable durable;
+  private volatile boolean storeReached;
+
+  /** What exists once the session is open. */
+  private record Durable(Journal journal, ShardOwnership ownership) {}
+
+  NodeState(
+      NodeSettings settings,
+      Platform platform,
+      InstantSource clock,
+      UniformRandomProvider random,
+      MetricRegistry metrics,
+      Supplier<? extends OwnershipListener> listener) {
+    this.settings = settings;
+    this.platform = platform;
+    this.clock = clock;
+    this.random = random;
+    this.listener = listener;
+    this.map = new ShardMap(settings.workShards());
+    NodeSettings.Timing timing = settings.timing();
+    SessionTiming times =
+        new SessionTiming(timing.heartbeat(), timing.sessionTtl(), timing.skewMargin());
+    this.session =
+        new SessionKeeper(
+            platform.table(),
+            times,
+            settings.vm(),
+            settings.listenPeers().toString(),
+            settings.dataCentre(),
+            UUID.randomUUID().toString(),
+            System::nanoTime);
+    this.watcher = new SessionWatcher(platform.table(), times, session, System::nanoTime);
+    metrics.gauge("journal.rows", () -> () -> rows(Journal::rowsWritten));
+    metrics.gauge("journal.bytes", () -> () -> rows(Journal::bytesWritten));
+    metrics.gauge("journal.pending", () -> () -> rows(j -> (long) j.pending()));
+  }
+
+  private long rows(ToLongFunction<Journal> count) {
+    Durable now = durable;
+    return now == null ? 0 : count.applyAsLong(now.journal());
+  }
+
+  ShardMap map() {
+    return map;
+  }
+
+  SessionKeeper session() {
+    return session;
+  }
+
+  TableService table() {
+    return platform.table();
+  }
+
+  boolean storeReached() {
+    return storeReached;
+  }
+
+  Optional<VmIncarnation> incarnation() {
+    return Optional.ofNullable(session.incarnation());
+  }
+
+  /** Renews the session; opens it first. */
+  void heartbeat() {
+    if (durable == null) {
+      storeReached = open();
+      return;
+    }
+    storeReached = session.heartbeat();
+  }
+
+  private boolean open() {
+    try {
+      VmIncarnation self = session.open();
+      ShardStates states = new ShardStates();
+      Journal journal =
+          new Journal(
+              platform.table(),
+              self,
+              JournalSettings.DEFAULT,
+              states,
+              clock,
+              System::nanoTime,
+              random);
+      ShardOwnership ownership =
+          new ShardOwnership(
+              platform.table(),
+              platform.objects(),
+              session,
+              journal,
+              states,
+              map,
+              listener.get(),
+              ownershipSettings());
+      durable = new Durable(journal, ownership);
+      return true;
+    } catch (MasticspreadException e) {
+      LOG.atWarning().log("session: not open yet: %s", e.getMessage());
+      return false;
+    }
+  }
+
+  private OwnershipSettings ownershipSettings() {
+    NodeSettings.Timing timing = settings.timing();
+    Retention retention =
+        new Retention(timing.recordRetention(), JOBS_KEPT, JOBS_KEPT, timing.longestAnswer());
+    OwnershipSettings base = OwnershipSettings.DEFAULT;
+    return new OwnershipSettings(retention, base.snapshotAfterRows(), base.maxSnapshotsPerTick());
+  }
+
+  /** Fences stale sessions, then claims and hands over shards. */
+  void own(Members members, Collection<RackId> racks) {
+    Durable now = durable;
+    if (now == null) {
+      return;
+    }
+    try {
+      SessionView view = watcher.tick();
+      Set<VmId> eligible = view.openVms();
+      eligible.removeIf(members::isLeaving);
+      now.ownership().tick(view, eligible, racks);
+    } catch (MasticspreadException e) {
+      LOG.atWarning().log("ownership: no tick: %s", e.getMessage());
+    }
+  }
+
+  CompletionStage<Void> append(ShardId shard, long epoch, JournalRecord record, Instant until) {
+    Durable now = durable;
+    if (now == null) {
+      return CompletableFuture.failedFuture(
+          new MasticspreadException(ResultCode.NOT_OWNER, "no session is open here"));
+    }
+    return now.journal().append(shard, epoch, record, until);
+  }
+
+  void flush() {
+    Durable now = durable;
+    if (now != null) {
+      now.journal().flush();
+    }
+  }
+
+  void withdrawExpired() {
+    Durable now = durable;
+    if (now != null) {
+      now.journal().withdrawExpired();
+    }
+  }
+
+  Duration flushInterval(int liveVms) {
+    return JournalSettings.flushInterval(liveVms, settings.storeWritesPerSecond());
+  }
+
+  Map<ShardId, Long> held() {
+    Durable now = durable;
+    return now == null ? Map.of() : now.ownership().held();
+  }
+
+  /** Releases all shards, flushing in between. */
+  boolean handOver(Instant until) {
+    Durable now = durable;
+    if (now == null) {
+      return true;
+    }
+    while (clock.instant().isBefore(until)) {
+      if (now.ownership().releaseAll()) {
+        return true;
+      }
+      now.journal().flush();
+      pause();
+    }
+    return false;
+  }
+
+  private static void pause() {
+    try {
+      Thread.sleep(STOP_STEP.toMillis());
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  /** Ends the session, so that no peer has to wait for its TTL. */
+  void close() {
+    if (durable != null && !session.close()) {
+      LOG.atWarning().log("session: not closed; peers fence it after its TTL");
+    }
+  }
+}
--- a/masticspread-node/src/main/java/org/masticspread/node/member/Members.java
+++ b/masticspread-node/src/main/java/org/masticspread/node/member/Members.java
@@ -100,16 +100,26 @@
    */
   public synchronized Set<VmId> staying() {
     Set<VmId> staying = new TreeSet<>();
-    for (Member member : listed.values()) {
-      Peer peer = peers.get(member.vm());
-      boolean stopping = peer != null && peer.digest().stopping();
-      if (!member.leaving() && !stopping) {
-        staying.add(member.vm());
+    for (VmId vm : listed.keySet()) {
+      if (!isLeaving(vm)) {
+        staying.add(vm);
       }
     }
     return staying;
   }
 
+  /**
+   * Tells whether a VM is about to stop, by the platform's list or its own digest.
+   *
+   * @param vm the VM
+   * @return whether it is; false if nothing is known of it
+   */
+  public synchronized boolean isLeaving(VmId vm) {
+    Member member = listed.get(vm);
+    Peer peer = peers.get(vm);
+    return (member != null && member.leaving()) || (peer != null && peer.digest().stopping());
+  }
+
   /**
    * Finds the address of a VM.
    *
