--- /dev/null
+++ b/masticspread-ctl/src/main/java/org/masticspread/ctl/CtlCommandLine.java
@@ -0,0 +1,175 @@
+package org.masticspread.ctl;
+
+import java.lang.reflect.Constructor;
+import java.time.Duration;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.function.Function;
+import org.masticspread.ctl.client.ConflictException;
+import org.masticspread.ctl.command.CtlContext;
+import org.masticspread.ctl.command.ExitCode;
+import org.masticspread.ctl.command.MemorySize;
+import org.masticspread.ctl.command.Times;
+import org.masticspread.ctl.command.UsageException;
+import org.masticspread.ctl.output.Output;
+import org.masticspread.model.id.DataCentreId;
+import org.masticspread.model.id.JobId;
+import org.masticspread.model.id.PoolId;
+import org.masticspread.model.id.RackId;
+import org.masticspread.model.id.RequestId;
+import org.masticspread.model.id.TeamId;
+import org.masticspread.model.id.WorkClassId;
+import org.masticspread.model.result.InvalidFieldException;
+import org.masticspread.model.result.MasticspreadException;
+import picocli.CommandLine;
+import picocli.CommandLine.IFactory;
+import picocli.CommandLine.ITypeConverter;
+import picocli.CommandLine.MissingParameterException;
+import picocli.CommandLine.Model.ArgSpec;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Model.OptionSpec;
+import picocli.CommandLine.ParameterException;
+import picocli.CommandLine.TypeConversionException;
+
+/** Builds the command line: converters, environment variables, help and error messages. */
+final class CtlCommandLine {
+  private static final String ENVIRONMENT_PREFIX = "MASTICSPREAD_";
+  private static final int USAGE_WIDTH_CHARS = 100;
+
+  private CtlCommandLine() {}
+
+  static CommandLine create(CtlContext context) {
+    CommandLine line = new CommandLine(new RootCommand(), new ContextFactory(context));
+    finish(line.getCommandSpec());
+    register(line, TeamId.class, TeamId::of);
+    register(line, WorkClassId.class, WorkClassId::of);
+    register(line, PoolId.class, PoolId::of);
+    register(line, RackId.class, RackId::of);
+    register(line, DataCentreId.class, DataCentreId::of);
+    register(line, JobId.class, JobId::of);
+    register(line, RequestId.class, RequestId::of);
+    register(line, Duration.class, Times::parse);
+    register(line, MemorySize.class, MemorySize::parse);
+    return line.setOut(context.out())
+        .setErr(context.err())
+        .setUsageHelpWidth(USAGE_WIDTH_CHARS)
+        .setUsageHelpAutoWidth(false)
+        .setCaseInsensitiveEnumValuesAllowed(true)
+        .setDefaultValueProvider(arg -> fromEnvironment(arg, context.environment()))
+        .setParameterExceptionHandler((e, args) -> badUsage(e, context))
+        .setExecutionExceptionHandler((e, l, parsed) -> failed(e, context));
+  }
+
+  private static void finish(CommandSpec spec) {
+    spec.mixinStandardHelpOptions(true);
+    spec.version("masticctl " + version());
+    for (OptionSpec option : List.copyOf(spec.options())) {
+      describe(spec, option);
+    }
+    spec.subcommands().values().forEach(l -> finish(l.getCommandSpec()));
+  }
+
+  private static void describe(CommandSpec spec, OptionSpec option) {
+    if (isHelp(option)) {
+      return;
+    }
+    String description = String.join(" ", option.description());
+    OptionSpec described =
+        OptionSpec.builder(option)
+            .description(description + " Environment: " + variable(option) + ".")
+            .build();
+    spec.remove(option);
+    spec.add(described);
+  }
+
+  private static String version() {
+    String version = CtlCommandLine.class.getPackage().getImplementationVersion();
+    return version == null ? "development" : version;
+  }
+
+  static boolean isHelp(OptionSpec option) {
+    return option.usageHelp() || option.versionHelp();
+  }
+
+  static String variable(OptionSpec option) {
+    String name = option.longestName().replaceFirst("^--", "");
+    return ENVIRONMENT_PREFIX + name.replace('-', '_').toUpperCase(Locale.ROOT);
+  }
+
+  private static String fromEnvironment(ArgSpec arg, Map<String, String> environment) {
+    if (arg instanceof OptionSpec option && !isHelp(option)) {
+      return environment.get(variable(option));
+    }
+    return null;
+  }
+
+  private static <T> void register(CommandLine line, Class<T> type, Function<String, T> parse) {
+    ITypeConverter<T> converter =
+        text -> {
+          try {
+            return parse.apply(text);
+          } catch (IllegalArgumentException e) {
+            throw new TypeConversionException(e.getMessage());
+          }
+        };
+    line.registerConverter(type, converter);
+  }
+
+  private static int badUsage(ParameterException e, CtlContext context) {
+    context.err().println("masticctl: " + e.getMessage());
+    if (e instanceof MissingParameterException missing) {
+      missing.getMissing().forEach(a -> context.err().println(allowed(a)));
+    }
+    String command = e.getCommandLine().getCommandSpec().qualifiedName();
+    context.err().println("See '" + command + " --help'.");
+    return ExitCode.USAGE.number();
+  }
+
+  private static String allowed(ArgSpec arg) {
+    String name = arg instanceof OptionSpec option ? option.longestName() : arg.paramLabel();
+    return name + ": missing; allowed: " + String.join(" ", arg.description());
+  }
+
+  private static int failed(Exception e, CtlContext context) {
+    if (e instanceof InterruptedException) {
+      Thread.currentThread().interrupt();
+      return ExitCode.INTERNAL.number();
+    }
+    if (!(e instanceof MasticspreadException known)) {
+      context.err().println("masticctl: internal fault: " + e);
+      return ExitCode.INTERNAL.number();
+    }
+    context.err().println("masticctl: " + known.getMessage());
+    if (known instanceof ConflictException conflict) {
+      conflict.first().ifPresent(f -> context.err().print(Output.yaml(f)));
+    }
+    return exitCode(known).number();
+  }
+
+  private static ExitCode exitCode(MasticspreadException e) {
+    if (e instanceof UsageException) {
+      return ExitCode.USAGE;
+    }
+    return e instanceof InvalidFieldException ? ExitCode.INVALID : ExitCode.of(e.code());
+  }
+
+  /** Creates commands, which take the context, and plain objects. */
+  private record ContextFactory(CtlContext context) implements IFactory {
+    @Override
+    public <K> K create(Class<K> type) throws Exception {
+      for (Constructor<?> constructor : type.getDeclaredConstructors()) {
+        if (isContextual(constructor)) {
+          constructor.setAccessible(true);
+          return type.cast(constructor.newInstance(context));
+        }
+      }
+      return CommandLine.defaultFactory().create(type);
+    }
+
+    private static boolean isContextual(Constructor<?> constructor) {
+      Class<?>[] types = constructor.getParameterTypes();
+      return types.length == 1 && types[0] == CtlContext.class;
+    }
+  }
+}
--- /dev/null
+++ b/masticspread-ctl/src/main/java/org/masticspread/ctl/command/Times.java
@@ -0,0 +1,46 @@
+package org.masticspread.ctl.command;
+
+import java.time.Duration;
+import java.time.format.DateTimeParseException;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/** Reads times, written such as {@code 250ms}, {@code 2s}, {@code 10m}, {@code 12h}, 3d or PT2S. */
+public final class Times {
+  /** What is allowed, in words. */
+  public static final String RULE = "a time such as 250ms, 2s, 10m, 12h, 3d or PT2S";
+
+  private static final Pattern TEXT = Pattern.compile("([0-9]{1,9})(ms|s|m|h|d)");
+
+  private Times() {}
+
+  /**
+   * Reads a time.
+   *
+   * @param text the text
+   * @return the time
+   * @throws IllegalArgumentException if the text breaks {@link #RULE}
+   */
+  public static Duration parse(String text) {
+    Matcher matcher = TEXT.matcher(text);
+    if (!matcher.matches()) {
+      return parseIso(text);
+    }
+    long amount = Long.parseLong(matcher.group(1));
+    return switch (matcher.group(2)) {
+      case "ms" -> Duration.ofMillis(amount);
+      case "s" -> Duration.ofSeconds(amount);
+      case "m" -> Duration.ofMinutes(amount);
+      case "h" -> Duration.ofHours(amount);
+      default -> Duration.ofDays(amount);
+    };
+  }
+
+  private static Duration parseIso(String text) {
+    try {
+      return Duration.parse(text);
+    } catch (DateTimeParseException e) {
+      throw new IllegalArgumentException("'" + text + "' is not allowed; allowed: " + RULE, e);
+    }
+  }
+}
--- /dev/null
+++ b/masticspread-ctl/src/main/java/org/masticspread/ctl/command/package-info.java
@@ -0,0 +1,2 @@
+/** What all commands share: flags, exit codes, error messages. */
+package org.masticspread.ctl.command;
--- /dev/null
+++ b/masticspread-ctl/src/main/java/org/masticspread/ctl/output/package-info.java
@@ -0,0 +1,2 @@
+/** Tables, YAML and JSON for people and programs. */
+package org.masticspread.ctl.output;
