masticctl: entries of the configuration, config files, top, explain, audit

Cause: operators need to create, change, drain and retire, and to keep the configuration in version control. Change: create/list/show/change/retire for pool, team, work-class, endpoint and worker, drain, team token, config show|validate|diff|apply|history, top, explain, audit, completion. Each change is written under the revision that was read; a change that came first is shown.

--- a/masticspread-ctl/src/main/java/org/masticspread/ctl/CtlCommandLine.java
+++ b/masticspread-ctl/src/main/java/org/masticspread/ctl/CtlCommandLine.java
@@ -12,6 +12,7 @@
 import org.masticspread.ctl.command.MemorySize;
 import org.masticspread.ctl.command.Times;
 import org.masticspread.ctl.command.UsageException;
+import org.masticspread.ctl.command.entity.EntityCommands;
 import org.masticspread.ctl.output.Output;
 import org.masticspread.model.id.DataCentreId;
 import org.masticspread.model.id.JobId;
@@ -41,7 +42,13 @@
 
   static CommandLine create(CtlContext context) {
     CommandLine line = new CommandLine(new RootCommand(), new ContextFactory(context));
+    EntityCommands.addTo(line, context);
     finish(line.getCommandSpec());
+    register(line, Integer.class, numbers(Integer::valueOf, "a whole number"));
+    register(line, int.class, numbers(Integer::valueOf, "a whole number"));
+    register(line, Long.class, numbers(Long::valueOf, "a whole number"));
+    register(line, long.class, numbers(Long::valueOf, "a whole number"));
+    register(line, Double.class, numbers(Double::valueOf, "a number"));
     register(line, TeamId.class, TeamId::of);
     register(line, WorkClassId.class, WorkClassId::of);
     register(line, PoolId.class, PoolId::of);
@@ -116,6 +123,16 @@
     line.registerConverter(type, converter);
   }
 
+  private static <T> Function<String, T> numbers(Function<String, T> parse, String allowed) {
+    return text -> {
+      try {
+        return parse.apply(text);
+      } catch (NumberFormatException e) {
+        throw new IllegalArgumentException("'" + text + "' is not allowed; allowed: " + allowed, e);
+      }
+    };
+  }
+
   private static int badUsage(ParameterException e, CtlContext context) {
     context.err().println("masticctl: " + e.getMessage());
     if (e instanceof MissingParameterException missing) {
--- a/masticspread-ctl/src/main/java/org/masticspread/ctl/RootCommand.java
+++ b/masticspread-ctl/src/main/java/org/masticspread/ctl/RootCommand.java
@@ -1,12 +1,27 @@
 package org.masticspread.ctl;
 
+import org.masticspread.ctl.command.CompletionCommand;
+import org.masticspread.ctl.command.config.ConfigCommand;
+import org.masticspread.ctl.command.watch.AuditCommand;
+import org.masticspread.ctl.command.watch.ExplainCommand;
 import org.masticspread.ctl.command.watch.StatusCommand;
+import org.masticspread.ctl.command.watch.TopCommand;
 import org.masticspread.ctl.command.work.JobCommand;
 import org.masticspread.ctl.command.work.RequestCommand;
 import picocli.CommandLine.Command;
 
+/** The root of the command line; the commands on entries of the configuration are added to it. */
 @Command(
     name = "masticctl",
     description = "The command line of masticspread, for operators and teams.",
-    subcommands = {RequestCommand.class, JobCommand.class, StatusCommand.class})
+    subcommands = {
+      RequestCommand.class,
+      JobCommand.class,
+      StatusCommand.class,
+      TopCommand.class,
+      ExplainCommand.class,
+      AuditCommand.class,
+      ConfigCommand.class,
+      CompletionCommand.class
+    })
 final class RootCommand {}
--- a/masticspread-ctl/src/main/java/org/masticspread/ctl/client/ApiClient.java
+++ b/masticspread-ctl/src/main/java/org/masticspread/ctl/client/ApiClient.java
@@ -31,6 +31,7 @@
  */
 public final class ApiClient {
   private static final String VERSION = "v1";
+  private static final int CONFLICT_AUDIT_LIMIT = 100;
 
   private final HttpTransport transport;
 
@@ -175,7 +176,25 @@
    *     when the change may have been made
    */
   public long change(ConfigChange change) throws ApiException {
-    return call("PUT", List.of("config"), change, Revision.class).revision();
+    try {
+      return call("PUT", List.of("config"), change, Revision.class).revision();
+    } catch (ConflictException e) {
+      throw e.first().isPresent() ? e : withFirst(e, change.expectedRevision());
+    }
+  }
+
+  /** Looks the change that came first up in the audit trail, when the node did not send it. */
+  private ConflictException withFirst(ConflictException conflict, long expectedRevision) {
+    try {
+      return audit(CONFLICT_AUDIT_LIMIT).entries().stream()
+          .filter(e -> e.revision() == expectedRevision + 1)
+          .findFirst()
+          .map(e -> new ConflictException(conflict.getMessage(), e))
+          .orElse(conflict);
+    } catch (ApiException e) {
+      conflict.addSuppressed(e);
+      return conflict;
+    }
   }
 
   /**
--- a/masticspread-ctl/src/main/java/org/masticspread/ctl/client/NodeStatus.java
+++ b/masticspread-ctl/src/main/java/org/masticspread/ctl/client/NodeStatus.java
@@ -1,27 +1,66 @@
 package org.masticspread.ctl.client;
 
-import com.fasterxml.jackson.databind.JsonNode;
+import java.util.List;
+import org.masticspread.model.id.VmId;
+import org.masticspread.model.peer.HomeDigest;
+import org.masticspread.model.peer.RackDigest;
+import org.masticspread.model.peer.ShardEpoch;
 
 /**
- * The state of a node.
+ * The state of the cell as one VM knows it.
  *
- * @param vm the VM
- * @param incarnation the number of its start
- * @param configRevision the revision of the configuration in force there
+ * @param vm the VM that answers
  * @param ready whether it takes work
- * @param storeReached whether it reaches the store
- * @param vms the VMs it takes for live
- * @param shards the work shards it owns
- * @param racks the rack shards it owns
- * @param home what its endpoints do
+ * @param configRevision the revision of the configuration in force there
+ * @param shardsOwned the number of work shards with a known owner; null when not told
+ * @param shardsTotal the number of work shards; null when not told
+ * @param vms the VM itself and its peers
  */
 public record NodeStatus(
-    String vm,
-    String incarnation,
-    long configRevision,
+    VmId vm,
     boolean ready,
-    boolean storeReached,
-    JsonNode vms,
-    JsonNode shards,
-    JsonNode racks,
-    JsonNode home) {}
+    long configRevision,
+    Integer shardsOwned,
+    Integer shardsTotal,
+    List<Vm> vms) {
+
+  /** Copies the list; a missing list counts as empty. */
+  public NodeStatus {
+    vms = copy(vms);
+  }
+
+  /**
+   * The state of one VM.
+   *
+   * @param vm the VM
+   * @param incarnation the number of its start
+   * @param configRevision the revision of the configuration in force there
+   * @param storeReached whether its latest heartbeat reached the store
+   * @param stopping whether it is about to stop
+   * @param ageMs how old this knowledge is, in milliseconds
+   * @param home the load of its endpoints; null when not known
+   * @param shards the work shards it owns
+   * @param racks the racks it owns
+   */
+  public record Vm(
+      VmId vm,
+      long incarnation,
+      long configRevision,
+      boolean storeReached,
+      boolean stopping,
+      long ageMs,
+      HomeDigest home,
+      List<ShardEpoch> shards,
+      List<RackDigest> racks) {
+
+    /** Copies the lists; a missing list counts as empty. */
+    public Vm {
+      shards = copy(shards);
+      racks = copy(racks);
+    }
+  }
+
+  private static <T> List<T> copy(List<T> list) {
+    return list == null ? List.of() : List.copyOf(list);
+  }
+}
--- a/masticspread-ctl/src/main/java/org/masticspread/ctl/command/Flags.java
+++ b/masticspread-ctl/src/main/java/org/masticspread/ctl/command/Flags.java
@@ -1,6 +1,7 @@
 package org.masticspread.ctl.command;
 
 import java.time.Duration;
+import java.util.function.Function;
 import org.masticspread.model.id.Names;
 
 /** Checks values of flags and names the flag, the value and what is allowed. */
@@ -75,4 +76,34 @@
     }
     return parts;
   }
+
+  /**
+   * Returns the value of a flag, or another one when it is missing.
+   *
+   * @param value the value; null when the flag is missing
+   * @param other the other value
+   * @param <T> the type of the value
+   * @return the value
+   */
+  public static <T> T or(T value, T other) {
+    return value == null ? other : value;
+  }
+
+  /**
+   * Reads a name.
+   *
+   * @param label how the help names it
+   * @param text the text
+   * @param parse makes the identifier
+   * @param <T> the type of the identifier
+   * @return the identifier
+   * @throws UsageException if the text is not a valid name
+   */
+  public static <T> T name(String label, String text, Function<String, T> parse)
+      throws UsageException {
+    if (!Names.isValid(text)) {
+      throw new UsageException(label, text, Names.RULE);
+    }
+    return parse.apply(text);
+  }
 }
--- /dev/null
+++ b/masticspread-ctl/src/main/java/org/masticspread/ctl/config/ConfigFile.java
@@ -0,0 +1,97 @@
+package org.masticspread.ctl.config;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.masticspread.codec.InputReader;
+import org.masticspread.model.config.Configuration;
+import org.masticspread.model.config.EndpointConfig;
+import org.masticspread.model.config.PoolConfig;
+import org.masticspread.model.config.TeamConfig;
+import org.masticspread.model.config.WorkClassConfig;
+import org.masticspread.model.config.WorkerConfig;
+import org.masticspread.model.result.InvalidFieldException;
+
+/**
+ * A configuration as a YAML file holds it; a missing section counts as empty.
+ *
+ * <p>Example: {@code ConfigFile.read(Path.of("cell.yaml")).mergedInto(inForce)}.
+ *
+ * @param revision the revision that the file was written from; null or 0 when not told
+ * @param pools the pools
+ * @param teams the teams
+ * @param workClasses the work classes
+ * @param endpoints the endpoints
+ * @param workers the workers
+ */
+public record ConfigFile(
+    Long revision,
+    List<PoolConfig> pools,
+    List<TeamConfig> teams,
+    List<WorkClassConfig> workClasses,
+    List<EndpointConfig> endpoints,
+    List<WorkerConfig> workers) {
+  private static final long MAX_FILE_BYTES = 64L << 20;
+
+  /**
+   * Reads a file.
+   *
+   * @param file the file
+   * @return its content
+   * @throws InvalidFieldException if it can't be read or a field is wrong; the error names the file
+   *     and the field
+   */
+  public static ConfigFile read(Path file) throws InvalidFieldException {
+    byte[] bytes = bytes(file);
+    try {
+      return InputReader.yaml().read(bytes, ConfigFile.class);
+    } catch (InvalidFieldException e) {
+      String message = e.getMessage();
+      String reason = message.substring(Math.min(message.length(), e.field().length() + 2));
+      throw new InvalidFieldException(file + ": " + e.field(), "value", reason);
+    }
+  }
+
+  /**
+   * Reads the bytes of a file.
+   *
+   * @param file the file
+   * @return its bytes
+   * @throws InvalidFieldException if it can't be read or is too large
+   */
+  public static byte[] bytes(Path file) throws InvalidFieldException {
+    try {
+      if (Files.size(file) > MAX_FILE_BYTES) {
+        throw new InvalidFieldException("file", file.toString(), "at most 64 MiB");
+      }
+      return Files.readAllBytes(file);
+    } catch (IOException e) {
+      throw new InvalidFieldException("file", file.toString(), "a readable file");
+    }
+  }
+
+  /**
+   * Returns the file as a whole configuration.
+   *
+   * @return the configuration, of revision 0 when the file does not tell one
+   */
+  public Configuration configuration() {
+    long known = revision == null ? 0 : revision;
+    return new Configuration(known, pools, teams, workClasses, endpoints, workers);
+  }
+
+  /**
+   * Puts the entries of the file in place of those of the same name and keeps all others.
+   *
+   * @param other the configuration to change
+   * @return the configuration after the change
+   */
+  public Configuration mergedInto(Configuration other) {
+    Configuration merged = other;
+    for (EntityKind<?> kind : EntityKinds.ALL) {
+      merged = kind.putAll(merged, configuration());
+    }
+    return merged;
+  }
+}
--- /dev/null
+++ b/masticspread-ctl/src/main/java/org/masticspread/ctl/output/RecordTable.java
@@ -0,0 +1,50 @@
+package org.masticspread.ctl.output;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.PrintWriter;
+import java.lang.reflect.RecordComponent;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Locale;
+import org.masticspread.codec.Mappers;
+
+/** Prints records as a table with a column for each field. */
+public final class RecordTable {
+  private static final String NONE = "(none)";
+
+  private RecordTable() {}
+
+  /**
+   * Prints records.
+   *
+   * @param out where to print
+   * @param records the records, all of one type
+   */
+  public static void print(PrintWriter out, List<?> records) {
+    if (records.isEmpty()) {
+      out.println(NONE);
+      return;
+    }
+    List<String> fields =
+        Arrays.stream(records.get(0).getClass().getRecordComponents())
+            .map(RecordComponent::getName)
+            .toList();
+    Table table = Table.of(fields.stream().map(RecordTable::head).toArray(String[]::new));
+    for (Object entry : records) {
+      JsonNode tree = Mappers.json().valueToTree(entry);
+      table.row(fields.stream().map(f -> cell(tree.get(f))).toArray());
+    }
+    table.print(out);
+  }
+
+  private static String head(String field) {
+    return field.replaceAll("([A-Z])", " $1").toUpperCase(Locale.ROOT);
+  }
+
+  private static String cell(JsonNode value) {
+    if (value == null) {
+      return null;
+    }
+    return value.isValueNode() ? value.asText() : value.toString().replace("\"", "");
+  }
+}
