--- a/masticspread-ctl/src/main/java/org/masticspread/ctl/RootCommand.java
+++ b/masticspread-ctl/src/main/java/org/masticspread/ctl/RootCommand.java
@@ -2,6 +2,7 @@
 
 import org.masticspread.ctl.command.CompletionCommand;
 import org.masticspread.ctl.command.config.ConfigCommand;
+import org.masticspread.ctl.command.questionnaire.QuestionnaireCommand;
 import org.masticspread.ctl.command.watch.AuditCommand;
 import org.masticspread.ctl.command.watch.ExplainCommand;
 import org.masticspread.ctl.command.watch.StatusCommand;
@@ -22,6 +23,7 @@
       ExplainCommand.class,
       AuditCommand.class,
       ConfigCommand.class,
+      QuestionnaireCommand.class,
       CompletionCommand.class
     })
 final class RootCommand {}
