Thin whole path: a request answered and a job finished

Change: main program of the node, embedded platform, HTTP interface. Jooby renders the value of a future a second time when it is the context itself: the second rendering raced the first and cut bodies to the length of the request line. The future now carries the body.

--- /dev/null
+++ b/masticspread-node/src/main/java/org/masticspread/node/NodeMain.java
@@ -0,0 +1,60 @@
+package org.masticspread.node;
+
+import java.util.concurrent.Callable;
+import org.masticspread.model.result.MasticspreadException;
+import org.masticspread.node.launch.NodeProcess;
+import org.masticspread.node.settings.NodeOptions;
+import org.masticspread.node.settings.NodeSettings;
+import org.masticspread.node.settings.SettingsCheck;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Spec;
+
+/** Entry point of {@code masticspread-node}. */
+@Command(
+    name = "masticspread-node",
+    mixinStandardHelpOptions = true,
+    version = "masticspread-node 0.1.0",
+    description = "The process that runs on every entry VM.",
+    footer = {
+      "",
+      "Exit codes: 0 stopped in order, 1 a fault, 2 a wrong setting (nothing listened),",
+      "3 stopped with work left, which the log names."
+    })
+public final class NodeMain implements Callable<Integer> {
+  private static final int EXIT_WRONG_SETTING = 2;
+  private static final String LOG_FORMAT = "masticspread.log.format";
+
+  @Mixin private NodeOptions options;
+
+  @Spec private CommandSpec spec;
+
+  private NodeMain() {}
+
+  /**
+   * Runs the program.
+   *
+   * @param args the command line
+   */
+  public static void main(String[] args) {
+    int code = new CommandLine(new NodeMain()).execute(args);
+    Runtime.getRuntime().halt(code);
+  }
+
+  @Override
+  public Integer call() throws Exception {
+    try {
+      NodeSettings settings = SettingsCheck.of(options).toSettings();
+      System.setProperty(LOG_FORMAT, settings.jsonLogs() ? "json" : "text");
+      System.setProperty(
+          "flogger.backend_factory",
+          "com.google.common.flogger.backend.slf4j.Slf4jBackendFactory#getInstance");
+      return NodeProcess.run(settings);
+    } catch (MasticspreadException e) {
+      spec.commandLine().getErr().println("masticspread-node: " + e.getMessage());
+      return EXIT_WRONG_SETTING;
+    }
+  }
+}
--- a/masticspread-node/src/main/java/org/masticspread/node/api/ApiServer.java
+++ b/masticspread-node/src/main/java/org/masticspread/node/api/ApiServer.java
@@ -77,7 +77,7 @@
     app.setServerOptions(options(address));
     app.setExecutionMode(ExecutionMode.EVENT_LOOP);
     app.use(ReactiveSupport.concurrent());
-    app.error((ctx, cause, code) -> send(ctx, failure(ctx, cause, code)));
+    app.error(ApiServer::sendFailure);
     routes.each(
         (method, path, call) ->
             app.route(method, path, handler(method + " " + path, call, executor)));
@@ -109,7 +109,8 @@
           .thenApply(
               reply -> {
                 time.stop();
-                return send(ctx, reply);
+                prepare(ctx, reply);
+                return reply.body();
               });
     };
   }
@@ -141,14 +142,20 @@
     }
   }
 
-  private static Context send(Context ctx, Reply reply) {
+  private static void sendFailure(Context ctx, Throwable cause, StatusCode status) {
+    Reply reply = failure(ctx, cause, status);
+    prepare(ctx, reply);
+    ctx.send(reply.body());
+  }
+
+  /** Sets status and headers; the body of a call that ends later is sent by the server. */
+  private static void prepare(Context ctx, Reply reply) {
     ctx.setResponseCode(reply.status());
     ctx.setResponseType(MediaType.valueOf(reply.contentType()));
     if (reply.retryAfterMs() != null) {
       long seconds = (long) Math.ceil(reply.retryAfterMs() / MILLIS_PER_SECOND);
       ctx.setResponseHeader("Retry-After", Long.toString(seconds));
     }
-    return ctx.send(reply.body());
   }
 
   private static Reply failure(Context ctx, Throwable thrown, StatusCode status) {
--- a/masticspread-node/src/main/java/org/masticspread/node/api/Inputs.java
+++ b/masticspread-node/src/main/java/org/masticspread/node/api/Inputs.java
@@ -149,7 +149,14 @@
 
   private Duration answerWithin(Duration given, WorkClassConfig workClass)
       throws InvalidFieldException {
-    Duration within = given == null ? workClass.answerWithin() : given;
+    if (given == null) {
+      Duration usual = workClass.answerWithin();
+      return usual.compareTo(longestAnswer) < 0 ? usual : longestAnswer;
+    }
+    return answerWithin(given);
+  }
+
+  private Duration answerWithin(Duration within) throws InvalidFieldException {
     if (within.isNegative() || within.isZero()) {
       throw new InvalidFieldException(
           ResultCode.DEADLINE_PASSED, "answerWithin", within.toString(), "a time above zero");
--- a/masticspread-node/src/main/java/org/masticspread/node/launch/NodeState.java
+++ b/masticspread-node/src/main/java/org/masticspread/node/launch/NodeState.java
@@ -114,7 +114,7 @@
   }
 
   Optional<VmIncarnation> incarnation() {
-    return Optional.ofNullable(session.incarnation());
+    return session.state().map(s -> session.incarnation());
   }
 
   /** Renews the session; opens it first. */
--- a/masticspread-node/src/main/java/org/masticspread/node/launch/SessionAuthority.java
+++ b/masticspread-node/src/main/java/org/masticspread/node/launch/SessionAuthority.java
@@ -31,7 +31,7 @@
   }
 
   private boolean isStoreDownForAll() {
-    return session.incarnation() != null
+    return session.state().isPresent()
         && members.hearsHalf()
         && members.fresh().stream().filter(this::isPeer).noneMatch(Digest::storeReached);
   }
--- a/masticspread-node/src/main/java/org/masticspread/node/settings/SettingsCheck.java
+++ b/masticspread-node/src/main/java/org/masticspread/node/settings/SettingsCheck.java
@@ -87,14 +87,22 @@
           workerLease.toString(),
           "at least three times --skew-margin " + skewMargin);
     }
+    Duration recordRetention = time("--record-retention", options.recordRetention);
+    Duration longestAnswer = time("--longest-answer", options.longestAnswer);
+    if (recordRetention.compareTo(longestAnswer) <= 0) {
+      throw new InvalidFieldException(
+          "--record-retention",
+          recordRetention.toString(),
+          "longer than --longest-answer " + longestAnswer);
+    }
     return new NodeSettings.Timing(
         heartbeat,
         sessionTtl,
         skewMargin,
         workerLease,
         time("--gossip", options.gossip),
-        time("--record-retention", options.recordRetention),
-        time("--longest-answer", options.longestAnswer),
+        recordRetention,
+        longestAnswer,
         time("--stop-within", options.stopWithin));
   }
 
--- a/masticspread-state/src/main/java/org/masticspread/state/config/ConfigCheck.java
+++ b/masticspread-state/src/main/java/org/masticspread/state/config/ConfigCheck.java
@@ -16,6 +16,7 @@
 import org.masticspread.model.config.WorkClassConfig;
 import org.masticspread.model.config.WorkerConfig;
 import org.masticspread.model.id.DataCentreId;
+import org.masticspread.model.id.Names;
 import org.masticspread.model.id.PoolId;
 import org.masticspread.model.id.TeamId;
 import org.masticspread.model.resource.ResourceVector;
@@ -29,6 +30,10 @@
   private static final double FLOOR_TOLERANCE = 1e-9;
   private static final int MAX_WEIGHT = 1_000_000;
   private static final Duration MAX_ANSWER_TIME = Duration.ofHours(1);
+
+  /** Marks a stand-in of the embedded platform. */
+  private static final String EMBEDDED = "embedded:";
+
   private static final Pattern ADDRESS =
       Pattern.compile("(https?://)?([A-Za-z0-9.-]+|\\[[0-9A-Fa-f:.]+\\]):([0-9]{1,5})(/\\S*)?");
   private static final int MAX_PORT = 65_535;
@@ -194,7 +199,10 @@
         found == null || found.dataCentres().contains(dataCentre),
         path + ".dataCentre",
         "pool " + pool + " is not in data centre " + dataCentre);
-    rule(isAddress(address), path + ".address", "must be host:port or a URL with a port");
+    rule(
+        isAddress(address),
+        path + ".address",
+        "must be host:port, a URL with a port, or embedded:NAME");
   }
 
   private void checkPool(String path, PoolId pool, boolean mayBeRetired) {
@@ -210,6 +218,9 @@
     if (address == null) {
       return false;
     }
+    if (address.startsWith(EMBEDDED)) {
+      return Names.isValid(address.substring(EMBEDDED.length()));
+    }
     var matcher = ADDRESS.matcher(address);
     if (!matcher.matches()) {
       return false;
