--- a/masticspread-state/src/main/java/org/masticspread/state/history/RequestRules.java
+++ b/masticspread-state/src/main/java/org/masticspread/state/history/RequestRules.java
@@ -51,7 +51,7 @@
   private static void checkRuns(RequestKey request, Seen events, List<Violation> violations) {
     boolean idempotent = events.sends.stream().allMatch(RequestSent::idempotent);
     if (!idempotent && events.runs.size() > 1) {
-      add(violations, Promise.RAN_AT_MOST_ONCE, request, "ran " + events.runs.size() + " times");
+      report(violations, Promise.RAN_AT_MOST_ONCE, request, "ran " + events.runs.size() + " times");
     }
   }
 
@@ -62,7 +62,7 @@
           events.sends.stream()
               .anyMatch(send -> !send.at().isAfter(run.at()) && mayHaveRun(send, events));
       if (!explained) {
-        add(violations, Promise.NOT_RUN_IS_TRUE, request, "ran at " + run.at());
+        report(violations, Promise.NOT_RUN_IS_TRUE, request, "ran at " + run.at());
       }
     }
   }
@@ -78,22 +78,22 @@
     for (RequestAnswered answer : events.answers) {
       int count = answersBySend.merge(answer.send(), 1, Integer::sum);
       if (count == 2) {
-        add(violations, Promise.WHOLE_ANSWER, request, answer.send() + " was answered twice");
+        report(violations, Promise.WHOLE_ANSWER, request, answer.send() + " was answered twice");
       }
       if (events.sends.stream().noneMatch(send -> send.send().equals(answer.send()))) {
-        add(violations, Promise.WHOLE_ANSWER, request, answer.send() + " was never sent");
+        report(violations, Promise.WHOLE_ANSWER, request, answer.send() + " was never sent");
       }
       boolean own =
           answer.code() != ResultCode.OK
               || events.runs.stream().anyMatch(run -> run.answer().equals(answer.body()));
       if (!own) {
         String detail = answer.send() + " got an answer that no endpoint gave to it";
-        add(violations, Promise.WHOLE_ANSWER, request, detail);
+        report(violations, Promise.WHOLE_ANSWER, request, detail);
       }
     }
   }
 
-  private static void add(
+  private static void report(
       List<Violation> violations, Promise promise, RequestKey request, String detail) {
     violations.add(new Violation(promise, request.toString(), detail));
   }
--- a/masticspread-state/src/main/java/org/masticspread/state/journal/Journal.java
+++ b/masticspread-state/src/main/java/org/masticspread/state/journal/Journal.java
@@ -9,6 +9,8 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.LongAdder;
 import java.util.concurrent.locks.ReentrantLock;
 import java.util.function.LongFunction;
 import java.util.function.LongSupplier;
@@ -65,10 +67,10 @@
   private final Backoff backoff;
   private long notBefore;
   private long firstSeq = 1;
-  private volatile long nextSeq = 1;
+  private final AtomicLong nextSeq = new AtomicLong(1);
   private volatile boolean fenced;
-  private volatile long rowsWritten;
-  private volatile long bytesWritten;
+  private final LongAdder rowsWritten = new LongAdder();
+  private final LongAdder bytesWritten = new LongAdder();
 
   /**
    * Creates the journal of an incarnation that has just opened its session.
@@ -178,24 +180,22 @@
     }
   }
 
-  /** Takes the records in doubt that may still wait, then what fits of the queue. */
+  /** Returns the records of a row in doubt, or what waits when none is. */
   private List<PendingAppend> nextGroup() {
-    Instant now = clock.instant();
-    List<PendingAppend> group = new ArrayList<>();
-    for (PendingAppend append : inDoubt.appends()) {
-      if (!append.isExpired(now)) {
-        group.add(append);
-      }
+    if (!inDoubt.isEmpty()) {
+      return inDoubt.nextGroup(clock.instant());
     }
+    List<PendingAppend> group = new ArrayList<>();
     queue.takeInto(group);
     return group;
   }
 
   private void commit(List<PendingAppend> group) throws StoreException, RecordFormatException {
     List<JournalEntry> entries = group.stream().map(PendingAppend::entry).toList();
-    Payload content = Envelope.seal(RecordKind.JOURNAL, new JournalBatch(self, nextSeq, entries));
+    long seq = nextSeq.get();
+    Payload content = Envelope.seal(RecordKind.JOURNAL, new JournalBatch(self, seq, entries));
     Attempt attempt = new Attempt(content, group);
-    String key = StateKeys.journal(self, nextSeq);
+    String key = StateKeys.journal(self, seq);
     Transaction transaction =
         new Transaction(
             List.of(FenceRow.open(self), new Condition(key, Condition.ABSENT)),
@@ -203,25 +203,27 @@
     try {
       table.commit(transaction);
     } catch (ConditionFailedException e) {
-      putBackNew(group);
+      putBack(group);
       conditionFailed();
       return;
     } catch (StoreException e) {
       if (e.effect() == StoreException.Effect.NONE) {
-        putBackNew(group);
+        putBack(group);
       } else {
         inDoubt.add(attempt);
       }
       throw e;
     }
-    rowsWritten++;
-    bytesWritten += content.sizeBytes();
+    rowsWritten.increment();
+    bytesWritten.add(content.sizeBytes());
     won(attempt);
   }
 
-  private void putBackNew(List<PendingAppend> group) {
-    Set<PendingAppend> doubted = inDoubt.appends();
-    queue.putBack(group.stream().filter(append -> !doubted.contains(append)).toList());
+  /** Returns records to the queue, unless an earlier attempt still holds them. */
+  private void putBack(List<PendingAppend> group) {
+    if (inDoubt.isEmpty()) {
+      queue.putBack(group);
+    }
   }
 
   private void conditionFailed() throws StoreException, RecordFormatException {
@@ -236,7 +238,7 @@
 
   /** Reads the row in doubt; settles it if one of the attempts is there. */
   private void readBack() throws StoreException, RecordFormatException {
-    String key = StateKeys.journal(self, nextSeq);
+    String key = StateKeys.journal(self, nextSeq.get());
     Optional<Row> row = table.read(key);
     if (row.isPresent()) {
       won(inDoubt.winner(row.get()));
@@ -248,7 +250,7 @@
     Set<PendingAppend> others = inDoubt.appends();
     winner.appends().forEach(others::remove);
     inDoubt.clear();
-    nextSeq++;
+    nextSeq.incrementAndGet();
     queue.putBack(List.copyOf(others));
     winner.appends().forEach(this::complete);
   }
@@ -293,7 +295,7 @@
   public <T> T atBoundary(LongFunction<T> action) {
     flushing.lock();
     try {
-      return action.apply(nextSeq);
+      return action.apply(nextSeq.get());
     } finally {
       flushing.unlock();
     }
@@ -305,7 +307,7 @@
    * @return the position, from 1
    */
   public long nextSeq() {
-    return nextSeq;
+    return nextSeq.get();
   }
 
   /**
@@ -342,7 +344,7 @@
    * @return the count
    */
   public long rowsWritten() {
-    return rowsWritten;
+    return rowsWritten.sum();
   }
 
   /**
@@ -351,7 +353,7 @@
    * @return the size in bytes
    */
   public long bytesWritten() {
-    return bytesWritten;
+    return bytesWritten.sum();
   }
 
   /**
@@ -364,7 +366,7 @@
   public boolean trim(long below) throws StoreException {
     flushing.lock();
     try {
-      long end = Math.min(Math.min(below, nextSeq), firstSeq + TRIM_ROWS);
+      long end = Math.min(Math.min(below, nextSeq.get()), firstSeq + TRIM_ROWS);
       if (firstSeq >= end) {
         return true;
       }
--- a/masticspread-state/src/main/java/org/masticspread/state/journal/RowInDoubt.java
+++ b/masticspread-state/src/main/java/org/masticspread/state/journal/RowInDoubt.java
@@ -1,5 +1,6 @@
 package org.masticspread.state.journal;
 
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -22,10 +23,14 @@
    */
   record Attempt(Payload content, List<PendingAppend> appends) {}
 
+  private static final int MAX_ATTEMPTS = 16;
+
   private final List<Attempt> attempts = new ArrayList<>();
 
   void add(Attempt attempt) {
-    attempts.add(attempt);
+    if (attempts.stream().noneMatch(a -> a.content().equals(attempt.content()))) {
+      attempts.add(attempt);
+    }
   }
 
   boolean isEmpty() {
@@ -43,6 +48,17 @@
     return appends;
   }
 
+  /**
+   * Returns the records for the next attempt: those that may still wait. After many attempts the
+   * last one is repeated as it is, which bounds the memory.
+   */
+  List<PendingAppend> nextGroup(Instant now) {
+    if (attempts.size() >= MAX_ATTEMPTS) {
+      return attempts.get(attempts.size() - 1).appends();
+    }
+    return appends().stream().filter(append -> !append.isExpired(now)).toList();
+  }
+
   /** Returns the attempt that a row was written by. */
   Attempt winner(Row row) throws RecordFormatException {
     for (Attempt attempt : attempts) {
--- a/masticspread-state/src/main/java/org/masticspread/state/ownership/HeldShard.java
+++ b/masticspread-state/src/main/java/org/masticspread/state/ownership/HeldShard.java
@@ -7,6 +7,7 @@
   private final ShardId shard;
   private ShardRow row;
   private long version;
+  private boolean releasing;
 
   HeldShard(ShardId shard, ShardRow row, long version) {
     this.shard = shard;
@@ -19,6 +20,15 @@
     version = newVersion;
   }
 
+  /** From now on the shard is handed over, even if the wanted owner changes back. */
+  void startRelease() {
+    releasing = true;
+  }
+
+  boolean isReleasing() {
+    return releasing;
+  }
+
   ShardId shard() {
     return shard;
   }
--- a/masticspread-state/src/main/java/org/masticspread/state/ownership/JournalCollector.java
+++ b/masticspread-state/src/main/java/org/masticspread/state/ownership/JournalCollector.java
@@ -2,7 +2,9 @@
 
 import com.google.common.flogger.FluentLogger;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import org.masticspread.model.id.VmId;
@@ -29,32 +31,42 @@
 final class JournalCollector {
   private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
   private static final int ROWS_PER_STEP = 100;
+  private static final int QUIET_ROUNDS = 5;
 
   private final TableService table;
+  private Map<VmIncarnation, Integer> quietRounds = new HashMap<>();
 
   JournalCollector(TableService table) {
     this.table = table;
   }
 
   /**
-   * Takes one step for each incarnation that is due and falls to this VM.
+   * Takes one step for each incarnation that falls to this VM and that no shard row has referred to
+   * for some rounds, so that one old read deletes nothing.
    *
    * @param sessions the sessions, read before the shard rows: an ended incarnation can't become the
    *     owner or a source of a shard any more
    */
   void collect(
       SessionView sessions, Collection<Versioned> rows, Set<VmId> eligible, VmIncarnation self) {
+    Map<VmIncarnation, Integer> quiet = new HashMap<>();
     for (SessionRow session : sessions.sessions().values()) {
       VmIncarnation ended = session.incarnation();
-      boolean due =
+      boolean unused =
           session.state() != SessionState.OPEN
               && rows.stream().noneMatch(row -> row.row().refersTo(ended));
+      if (!unused) {
+        continue;
+      }
+      int rounds = quietRounds.getOrDefault(ended, 0) + 1;
+      quiet.put(ended, rounds);
       boolean mine =
           Rendezvous.owner("collect-" + ended, eligible).filter(self.vm()::equals).isPresent();
-      if (due && mine) {
+      if (mine && rounds > QUIET_ROUNDS) {
         step(ended);
       }
     }
+    quietRounds = quiet;
   }
 
   private void step(VmIncarnation ended) {
--- a/masticspread-state/src/main/java/org/masticspread/state/ownership/ShardOwnership.java
+++ b/masticspread-state/src/main/java/org/masticspread/state/ownership/ShardOwnership.java
@@ -38,6 +38,14 @@
 public final class ShardOwnership {
   private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
 
+  /**
+   * A claim whose answer was lost. While it may still take effect, its sources must be kept.
+   *
+   * @param version the version of the row that it depends on
+   * @param claimed the row that it writes
+   */
+  private record ClaimInDoubt(long version, ShardRow claimed) {}
+
   private final SessionKeeper session;
   private final Journal journal;
   private final ShardStates states;
@@ -51,6 +59,7 @@
   private final JournalCollector collector;
 
   private final Map<ShardId, HeldShard> held = new TreeMap<>();
+  private final Map<ShardId, ClaimInDoubt> claimsInDoubt = new HashMap<>();
   private volatile Map<ShardId, ShardOwner> owners = Map.of();
   private volatile Map<ShardId, Long> heldEpochs = Map.of();
 
@@ -106,6 +115,7 @@
     Map<ShardId, Versioned> rows = shardTable.scan();
     owners = ownersOf(rows);
     dropForeign(rows);
+    claimsInDoubt.entrySet().removeIf(c -> isSettled(c.getValue(), rows.get(c.getKey())));
     if (!session.isHeld()) {
       return;
     }
@@ -154,7 +164,7 @@
     boolean mine = desired.isPresent() && desired.get().equals(self().vm());
     HeldShard holding = held.get(shard);
     if (holding != null) {
-      if (desired.isPresent() && !mine) {
+      if (holding.isReleasing() || (desired.isPresent() && !mine)) {
         handOver(holding);
       }
       return;
@@ -187,6 +197,7 @@
       LOG.atInfo().log("ownership: %s was claimed by another VM", shard);
       return;
     } catch (StoreException e) {
+      claimsInDoubt.put(shard, new ClaimInDoubt(before.version(), claimed));
       LOG.atWarning().log("ownership: claim of %s failed: %s", shard, e.getMessage());
       return;
     }
@@ -214,6 +225,7 @@
 
   private void handOver(HeldShard holding) {
     ShardId shard = holding.shard();
+    holding.startRelease();
     if (!listener.mustRelease(shard, holding.row().epoch())) {
       return;
     }
@@ -235,13 +247,18 @@
     lose(holding);
   }
 
+  private static boolean isSettled(ClaimInDoubt claim, Versioned read) {
+    return read != null && read.version() > claim.version();
+  }
+
   private void dropForeign(Map<ShardId, Versioned> rows) {
     for (HeldShard holding : List.copyOf(held.values())) {
       Versioned read = rows.get(holding.shard());
+      if (read == null || read.version() < holding.version()) {
+        continue;
+      }
       boolean kept =
-          read != null
-              && self().equals(read.row().owner())
-              && read.row().epoch() == holding.row().epoch();
+          self().equals(read.row().owner()) && read.row().epoch() == holding.row().epoch();
       if (kept) {
         holding.refresh(read.row(), read.version());
       } else {
@@ -268,14 +285,17 @@
     heldEpochs = Map.copyOf(epochs);
   }
 
+  /** Deletes the journal rows before all sources: read, held, and claimed in doubt. */
   private void trim(Map<ShardId, Versioned> rows) {
     long below = journal.nextSeq();
     for (Versioned row : rows.values()) {
-      for (Source source : row.row().sources()) {
-        if (source.incarnation().equals(self())) {
-          below = Math.min(below, source.fromSeq());
-        }
-      }
+      below = Math.min(below, firstSource(row.row()));
+    }
+    for (HeldShard holding : held.values()) {
+      below = Math.min(below, firstSource(holding.row()));
+    }
+    for (ClaimInDoubt claim : claimsInDoubt.values()) {
+      below = Math.min(below, firstSource(claim.claimed()));
     }
     try {
       journal.trim(below);
@@ -284,6 +304,14 @@
     }
   }
 
+  private long firstSource(ShardRow row) {
+    return row.sources().stream()
+        .filter(source -> source.incarnation().equals(self()))
+        .mapToLong(Source::fromSeq)
+        .min()
+        .orElse(Long.MAX_VALUE);
+  }
+
   /**
    * Returns the owners of all shards as last read, for routing.
    *
--- a/masticspread-state/src/main/java/org/masticspread/state/shard/Attempts.java
+++ b/masticspread-state/src/main/java/org/masticspread/state/shard/Attempts.java
@@ -49,6 +49,6 @@
    * @return the epoch, 0 for {@link #NONE}
    */
   public static long epochOf(int attempt) {
-    return attempt >>> COUNT_BITS;
+    return Integer.toUnsignedLong(attempt) >>> COUNT_BITS;
   }
 }
--- a/masticspread-state/src/main/java/org/masticspread/state/shard/JobEntry.java
+++ b/masticspread-state/src/main/java/org/masticspread/state/shard/JobEntry.java
@@ -18,8 +18,6 @@
  * tasks run now), so that a replay gives the same durable state. Not thread-safe.
  */
 final class JobEntry {
-  private static final TaskPhase[] PHASES = TaskPhase.values();
-
   /**
    * What is kept of a task besides its phase.
    *
@@ -43,7 +41,7 @@
 
   private final JobSpec spec;
   private final Instant acceptedAt;
-  private final byte[] phases;
+  private final TaskPhase[] phases;
   private final Map<Integer, Note> notes = new HashMap<>();
   private final Map<Integer, Live> live = new HashMap<>();
   private int ended;
@@ -54,8 +52,8 @@
   JobEntry(JobSpec spec, Instant acceptedAt) {
     this.spec = spec;
     this.acceptedAt = acceptedAt;
-    this.phases = new byte[spec.tasks()];
-    Arrays.fill(phases, (byte) TaskPhase.WAITING.ordinal());
+    this.phases = new TaskPhase[spec.tasks()];
+    Arrays.fill(phases, TaskPhase.WAITING);
   }
 
   JobSpec spec() {
@@ -88,7 +86,7 @@
     }
     Note note = note(index);
     notes.put(index, new Note(attempt, note.tries(), null, null));
-    phases[index] = (byte) TaskPhase.PLACING.ordinal();
+    phases[index] = TaskPhase.PLACING;
   }
 
   void taskEnded(JournalRecord.TaskEnded end) {
@@ -131,7 +129,7 @@
 
   private void setPhase(int index, TaskPhase phase, Instant at) {
     int change = (phase.isTerminal() ? 1 : 0) - (phase(index).isTerminal() ? 1 : 0);
-    phases[index] = (byte) phase.ordinal();
+    phases[index] = phase;
     ended += change;
     if (ended == phases.length && endedAt == null) {
       endedAt = at;
@@ -150,7 +148,7 @@
   }
 
   TaskPhase phase(int index) {
-    return PHASES[phases[index]];
+    return phases[index];
   }
 
   private Note note(int index) {
