State: fault tables over several VMs

Cause: the promises need proof under store faults. Change: in-memory stores with scripted faults, stepped VMs, tables that cross 5 faults singly, twice and in pairs with 6 row families and 6 events; an hour's outage; takeover. The stage of an append now carries the AppendException itself (a dependent stage wrapped it, so that a lost record read as accepted).

--- a/masticspread-state/src/main/java/org/masticspread/state/journal/Journal.java
+++ b/masticspread-state/src/main/java/org/masticspread/state/journal/Journal.java
@@ -126,7 +126,7 @@
     } catch (AppendException e) {
       return CompletableFuture.failedStage(e);
     }
-    return append.result().minimalCompletionStage();
+    return append.result();
   }
 
   /** Withdraws the records whose hold-until instant has passed and that no commit holds. */
--- /dev/null
+++ b/masticspread-state/src/test/java/org/masticspread/state/FaultTableTest.java
@@ -0,0 +1,213 @@
+package org.masticspread.state;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.masticspread.model.id.VmId;
+import org.masticspread.state.history.HistoryEvent;
+import org.masticspread.state.testing.Fault;
+import org.masticspread.state.testing.Samples;
+import org.masticspread.state.testing.TestCluster;
+import org.masticspread.state.testing.TestVm;
+
+/** Crosses each store fault with each operation: singly, twice in a row and in pairs. */
+class FaultTableTest {
+  private static final List<String> TARGETS =
+      List.of("incarnation/", "session/", "fence/", "shard/", "journal/", "objects");
+
+  private static final List<Fault> FAULTS =
+      List.of(Fault.REFUSED, Fault.ERROR_BEFORE, Fault.ERROR_AFTER, Fault.LATE_EFFECT, Fault.SLOW);
+
+  /** What happens to the VMs while the store fails. */
+  enum Scenario {
+    STEADY(cluster -> {}),
+    VM_KILLED(cluster -> cluster.kill("vm-b")),
+    VM_RESTARTED(cluster -> cluster.start("vm-b")),
+    VM_JOINS(cluster -> cluster.start("vm-d")),
+    VM_LEAVES(cluster -> cluster.leave("vm-b")),
+    VM_PAUSED(cluster -> cluster.pause("vm-b"));
+
+    private final Consumer<TestCluster> change;
+
+    Scenario(Consumer<TestCluster> change) {
+      this.change = change;
+    }
+  }
+
+  private static TestCluster started() {
+    TestCluster cluster = new TestCluster();
+    Stream.of("vm-a", "vm-b", "vm-c").forEach(cluster::start);
+    cluster.run(4);
+    return cluster;
+  }
+
+  private static void work(TestCluster cluster, int round) {
+    for (TestVm vm : cluster.vms()) {
+      if (cluster.isRunning(vm.id().value())) {
+        for (int i = 0; i < 3; i++) {
+          vm.submit(Samples.job("job-" + round + "-" + i, 2, true));
+          String request = "request-" + round + "-" + i;
+          vm.run(
+              Samples.request(
+                  request, request, cluster.clock().instant().plus(Duration.ofSeconds(9))));
+        }
+      }
+    }
+  }
+
+  static Stream<Arguments> cells() {
+    List<Arguments> cells = new ArrayList<>();
+    for (Scenario scenario : Scenario.values()) {
+      for (String target : TARGETS) {
+        for (Fault first : FAULTS) {
+          cells.add(Arguments.of(scenario, target, List.of(first)));
+          FAULTS.forEach(
+              second -> cells.add(Arguments.of(scenario, target, List.of(first, second))));
+        }
+      }
+    }
+    return cells.stream();
+  }
+
+  private static void inject(TestCluster cluster, String target, List<Fault> faults) {
+    Fault[] row = faults.toArray(new Fault[0]);
+    if (target.equals("objects")) {
+      cluster.objects().failCalls(row);
+      return;
+    }
+    cluster.table().failCommits(target, row);
+    cluster.table().failReads(target, row);
+  }
+
+  @Nested
+  class OneStoreFault {
+    @ParameterizedTest(name = "{0} {1} {2}")
+    @MethodSource("org.masticspread.state.FaultTableTest#cells")
+    void should_break_no_promise(Scenario scenario, String target, List<Fault> faults) {
+      // GIVEN
+      TestCluster cluster = started();
+      work(cluster, 0);
+      inject(cluster, target, faults);
+      // WHEN
+      scenario.change.accept(cluster);
+      for (int round = 1; round < 12; round++) {
+        work(cluster, round % 4);
+        cluster.run(1);
+      }
+      cluster.settle();
+      // THEN
+      assertThat(cluster.problems()).isEmpty();
+      assertThat(cluster.history()).anyMatch(HistoryEvent.RequestRan.class::isInstance);
+    }
+
+    static Stream<Arguments> pairs() {
+      List<Arguments> pairs = new ArrayList<>();
+      for (Scenario scenario : Scenario.values()) {
+        for (String first : TARGETS) {
+          for (String second : TARGETS) {
+            pairs.add(Arguments.of(scenario, first, second));
+          }
+        }
+      }
+      return pairs.stream();
+    }
+
+    @ParameterizedTest(name = "{0} {1} {2}")
+    @MethodSource("pairs")
+    void should_break_no_promise_in_pairs(Scenario scenario, String first, String second) {
+      // GIVEN
+      TestCluster cluster = started();
+      inject(cluster, first, List.of(Fault.ERROR_AFTER, Fault.LATE_EFFECT));
+      inject(cluster, second, List.of(Fault.ERROR_BEFORE, Fault.ERROR_AFTER, Fault.SLOW));
+      // WHEN
+      scenario.change.accept(cluster);
+      for (int round = 1; round < 12; round++) {
+        work(cluster, round % 4);
+        cluster.run(1);
+      }
+      cluster.settle();
+      // THEN
+      assertThat(cluster.problems()).isEmpty();
+    }
+  }
+
+  @Nested
+  class LongOutage {
+    @ParameterizedTest
+    @MethodSource("org.masticspread.state.FaultTableTest#scenarios")
+    void should_fence_no_live_vm_and_lose_nothing(Scenario scenario) {
+      // GIVEN
+      TestCluster cluster = started();
+      work(cluster, 0);
+      cluster.run(2);
+      List<String> fences = cluster.table().keys("fence/");
+      // WHEN
+      cluster.table().setDown(true);
+      cluster.objects().setDown(true);
+      work(cluster, 1);
+      cluster.run(3_600);
+      cluster.table().setDown(false);
+      cluster.objects().setDown(false);
+      cluster.run(10);
+      // THEN
+      assertThat(cluster.vms()).noneMatch(vm -> vm.keeper().isFenced());
+      assertThat(cluster.table().keys("fence/")).isEqualTo(fences);
+      // WHEN
+      scenario.change.accept(cluster);
+      work(cluster, 2);
+      cluster.run(12);
+      cluster.settle();
+      // THEN
+      assertThat(cluster.problems()).isEmpty();
+    }
+
+    @Test
+    void should_take_over_while_the_object_store_is_down() {
+      // GIVEN
+      TestCluster cluster = started();
+      work(cluster, 0);
+      cluster.run(2);
+      cluster.objects().setDown(true);
+      // WHEN
+      cluster.kill("vm-b");
+      cluster.run(9);
+      // THEN
+      assertThat(cluster.problems()).isEmpty();
+      assertThat(cluster.vms()).extracting(TestVm::id).doesNotContain(VmId.of("vm-b"));
+    }
+  }
+
+  static Stream<Scenario> scenarios() {
+    return Stream.of(Scenario.values());
+  }
+
+  @Nested
+  class Takeover {
+    @ParameterizedTest
+    @MethodSource("targets")
+    void should_serve_again_within_ten_seconds(String killed) {
+      // GIVEN
+      TestCluster cluster = started();
+      work(cluster, 0);
+      cluster.run(20);
+      // WHEN
+      cluster.kill(killed);
+      cluster.run(9);
+      // THEN
+      assertThat(cluster.problems()).isEmpty();
+    }
+
+    static Stream<String> targets() {
+      return Stream.of("vm-a", "vm-b", "vm-c");
+    }
+  }
+}
--- /dev/null
+++ b/masticspread-state/src/test/java/org/masticspread/state/testing/FakeTable.java
@@ -0,0 +1,209 @@
+package org.masticspread.state.testing;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.masticspread.model.platform.Condition;
+import org.masticspread.model.platform.ConditionFailedException;
+import org.masticspread.model.platform.Mutation;
+import org.masticspread.model.platform.Row;
+import org.masticspread.model.platform.StoreException;
+import org.masticspread.model.platform.StoreException.Effect;
+import org.masticspread.model.platform.TableService;
+import org.masticspread.model.platform.Transaction;
+import org.masticspread.model.work.Payload;
+import org.masticspread.state.session.FenceRow;
+
+/** A table service in memory with faults by key prefix. */
+public final class FakeTable implements TableService {
+  private static final Duration SLOWNESS = Duration.ofSeconds(3);
+  private static final int LATE_CALLS = 3;
+
+  private record Late(Transaction transaction, long dueAtCall) {}
+
+  private final VirtualClock clock;
+  private final Map<String, Deque<Fault>> commitFaults = new HashMap<>();
+  private final Map<String, Deque<Fault>> readFaults = new HashMap<>();
+  private final List<Late> late = new ArrayList<>();
+  private final List<String> fencedWrites = new ArrayList<>();
+  private TreeMap<String, Row> rows = new TreeMap<>();
+  private TreeMap<String, Row> before = rows;
+  private boolean down;
+  private boolean readsDown;
+  private long calls;
+  private long commits;
+  private long scans;
+
+  public FakeTable(VirtualClock clock) {
+    this.clock = clock;
+  }
+
+  /** The next commits that write under the prefix get these faults, one each. */
+  public synchronized void failCommits(String prefix, Fault... faults) {
+    commitFaults.computeIfAbsent(prefix, p -> new ArrayDeque<>()).addAll(List.of(faults));
+  }
+
+  /** The next reads and scans under the prefix get these faults, one each. */
+  public synchronized void failReads(String prefix, Fault... faults) {
+    readFaults.computeIfAbsent(prefix, p -> new ArrayDeque<>()).addAll(List.of(faults));
+  }
+
+  public synchronized void setDown(boolean down) {
+    this.down = down;
+    this.readsDown = down;
+  }
+
+  public synchronized void heal() {
+    down = false;
+    readsDown = false;
+    commitFaults.clear();
+    readFaults.clear();
+  }
+
+  /** Journal rows written although the session of their incarnation had ended; must be empty. */
+  public synchronized List<String> fencedWrites() {
+    return List.copyOf(fencedWrites);
+  }
+
+  public synchronized long commits() {
+    return commits;
+  }
+
+  public synchronized long scans() {
+    return scans;
+  }
+
+  public synchronized List<String> keys(String prefix) {
+    return rows.keySet().stream().filter(key -> key.startsWith(prefix)).toList();
+  }
+
+  public synchronized void overwrite(String key, Payload value) {
+    rows.put(key, new Row(key, rows.get(key).version(), value));
+  }
+
+  public synchronized void remove(String key) {
+    rows.remove(key);
+  }
+
+  @Override
+  public synchronized Optional<Row> read(String key) throws StoreException {
+    return Optional.ofNullable(visible(key).get(key));
+  }
+
+  @Override
+  public synchronized List<Row> scan(String prefix, String after, int limit) throws StoreException {
+    scans++;
+    return visible(prefix).tailMap(after, false).values().stream()
+        .filter(row -> row.key().startsWith(prefix))
+        .limit(limit)
+        .toList();
+  }
+
+  private TreeMap<String, Row> visible(String key) throws StoreException {
+    deliverLate();
+    Fault fault = readsDown ? Fault.REFUSED : next(readFaults, key);
+    switch (fault) {
+      case NONE, LATE_EFFECT -> {
+        return rows;
+      }
+      case STALE -> {
+        return before;
+      }
+      case SLOW -> {
+        clock.advance(SLOWNESS);
+        return rows;
+      }
+      default -> throw new StoreException(Effect.NONE, "read failed: " + fault, null);
+    }
+  }
+
+  @Override
+  public synchronized void commit(Transaction transaction)
+      throws StoreException, ConditionFailedException {
+    commits++;
+    deliverLate();
+    String key = transaction.mutations().get(0).key();
+    Fault fault = down ? Fault.REFUSED : next(commitFaults, key);
+    switch (fault) {
+      case REFUSED -> throw new StoreException(Effect.NONE, "refused", null);
+      case ERROR_BEFORE -> throw new StoreException(Effect.UNKNOWN, "lost before", null);
+      case ERROR_AFTER -> {
+        tryApply(transaction);
+        throw new StoreException(Effect.UNKNOWN, "lost after", null);
+      }
+      case LATE_EFFECT -> {
+        late.add(new Late(transaction, calls + LATE_CALLS));
+        throw new StoreException(Effect.UNKNOWN, "late", null);
+      }
+      case SLOW -> {
+        clock.advance(SLOWNESS);
+        apply(transaction);
+      }
+      default -> apply(transaction);
+    }
+  }
+
+  private static Fault next(Map<String, Deque<Fault>> faults, String key) {
+    for (Map.Entry<String, Deque<Fault>> entry : faults.entrySet()) {
+      if (key.startsWith(entry.getKey()) && !entry.getValue().isEmpty()) {
+        return entry.getValue().removeFirst();
+      }
+    }
+    return Fault.NONE;
+  }
+
+  private void deliverLate() {
+    calls++;
+    for (Late due : late.stream().filter(l -> l.dueAtCall() <= calls).toList()) {
+      late.remove(due);
+      tryApply(due.transaction());
+    }
+  }
+
+  private void tryApply(Transaction transaction) {
+    try {
+      apply(transaction);
+    } catch (ConditionFailedException e) {
+      // The caller of a lost commit hears nothing either way.
+      return;
+    }
+  }
+
+  private void apply(Transaction transaction) throws ConditionFailedException {
+    for (Condition condition : transaction.conditions()) {
+      Row row = rows.get(condition.key());
+      long version = row == null ? Condition.ABSENT : row.version();
+      if (version != condition.version()) {
+        throw new ConditionFailedException(condition.key());
+      }
+    }
+    before = new TreeMap<>(rows);
+    for (Mutation mutation : transaction.mutations()) {
+      noteFencedWrite(mutation);
+      Row old = rows.get(mutation.key());
+      if (mutation.value() == null) {
+        rows.remove(mutation.key());
+      } else {
+        long version = old == null ? 1 : old.version() + 1;
+        rows.put(mutation.key(), new Row(mutation.key(), version, mutation.value()));
+      }
+    }
+  }
+
+  private void noteFencedWrite(Mutation mutation) {
+    String[] parts = mutation.key().split("/");
+    if (!parts[0].equals("journal") || mutation.value() == null) {
+      return;
+    }
+    Row fence = rows.get("fence/" + parts[1] + "/" + parts[2]);
+    if (fence == null || fence.version() != FenceRow.OPEN_VERSION) {
+      fencedWrites.add(mutation.key());
+    }
+  }
+}
--- /dev/null
+++ b/masticspread-state/src/test/java/org/masticspread/state/testing/TestCluster.java
@@ -0,0 +1,180 @@
+package org.masticspread.state.testing;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.stream.Stream;
+import org.masticspread.model.id.ShardId;
+import org.masticspread.model.id.VmId;
+import org.masticspread.model.id.VmIncarnation;
+import org.masticspread.model.peer.ShardEpoch;
+import org.masticspread.model.work.JobView;
+import org.masticspread.state.history.HistoryChecker;
+import org.masticspread.state.history.HistoryEvent;
+
+/** Several VMs over one store, stepped one after another on a virtual clock. */
+public final class TestCluster {
+  private static final Duration INTERVAL = Duration.ofSeconds(1);
+
+  private final VirtualClock clock = new VirtualClock();
+  private final FakeTable table = new FakeTable(clock);
+  private final FakeObjects objects = new FakeObjects();
+  private final Map<VmId, TestVm> running = new TreeMap<>();
+  private final Set<VmId> paused = new HashSet<>();
+  private final Set<VmId> leaving = new HashSet<>();
+  private final Map<ShardEpoch, VmIncarnation> holders = new HashMap<>();
+  private final List<String> problems = new ArrayList<>();
+  private final List<HistoryEvent> history = new ArrayList<>();
+  private int sends;
+  private int nonces;
+
+  public TestVm start(String name) {
+    VmId id = VmId.of(name);
+    TestVm vm = new TestVm(this, id, "nonce-" + nonces++);
+    running.put(id, vm);
+    paused.remove(id);
+    leaving.remove(id);
+    return vm;
+  }
+
+  public void kill(String name) {
+    running.remove(VmId.of(name));
+  }
+
+  public void pause(String name) {
+    paused.add(VmId.of(name));
+  }
+
+  public void resume(String name) {
+    paused.remove(VmId.of(name));
+  }
+
+  public void leave(String name) {
+    leaving.add(VmId.of(name));
+  }
+
+  /** Runs rounds in which each VM that is not paused takes a step. */
+  public void run(int rounds) {
+    for (int i = 0; i < rounds; i++) {
+      clock.advance(INTERVAL);
+      for (TestVm vm : List.copyOf(running.values())) {
+        if (!paused.contains(vm.id())) {
+          vm.step();
+        }
+      }
+    }
+  }
+
+  /** Takes all faults away, restarts fenced VMs and runs until all is settled. */
+  public void settle() {
+    table.heal();
+    objects.heal();
+    paused.clear();
+    for (int i = 0; i < 3; i++) {
+      run(12);
+      for (TestVm vm : List.copyOf(running.values())) {
+        if (vm.keeper().isFenced()) {
+          start(vm.id().value());
+        }
+      }
+    }
+    run(12);
+  }
+
+  public TestVm vm(String name) {
+    return running.get(VmId.of(name));
+  }
+
+  public boolean isRunning(String name) {
+    return running.containsKey(VmId.of(name)) && !paused.contains(VmId.of(name));
+  }
+
+  public List<TestVm> vms() {
+    return List.copyOf(running.values());
+  }
+
+  void acquired(ShardId shard, long epoch, VmIncarnation holder) {
+    VmIncarnation other = holders.putIfAbsent(new ShardEpoch(shard, epoch), holder);
+    if (other != null && !other.equals(holder)) {
+      problems.add(shard + " at epoch " + epoch + " is held by " + other + " and " + holder);
+    }
+  }
+
+  /** Lists everything that breaks a promise after {@link #settle}. */
+  public List<String> problems() {
+    List<String> all = new ArrayList<>(problems);
+    all.addAll(table.fencedWrites());
+    Stream.concat(TestVm.MAP.workShards(), Stream.of(ShardId.rack(TestVm.RACK)))
+        .forEach(shard -> checkHeldOnce(shard, all));
+    List<HistoryEvent> whole = new ArrayList<>(history);
+    for (TestVm vm : running.values()) {
+      for (JobView job : vm.jobs()) {
+        whole.add(new HistoryEvent.JobShown(job.spec().key(), job.phase(), clock.instant()));
+        checkNotRefused(job, all);
+      }
+    }
+    HistoryChecker.check(whole).forEach(violation -> all.add(violation.toString()));
+    return all;
+  }
+
+  private void checkHeldOnce(ShardId shard, List<String> all) {
+    long count = running.values().stream().filter(vm -> vm.held().contains(shard)).count();
+    if (count != 1) {
+      String failures = running.values().stream().map(vm -> vm.failures().toString()).toList() + "";
+      all.add(shard + " is held " + count + " times; " + failures);
+    }
+  }
+
+  /** A job whose every submission was refused as not written must not be there. */
+  private void checkNotRefused(JobView job, List<String> all) {
+    long submitted =
+        history.stream()
+            .filter(e -> e instanceof HistoryEvent.JobSubmitted s && s.job().equals(key(job)))
+            .count();
+    long refused =
+        history.stream()
+            .filter(e -> e instanceof HistoryEvent.JobAnswered a && a.job().equals(key(job)))
+            .filter(e -> ((HistoryEvent.JobAnswered) e).code().isRetryable())
+            .count();
+    if (refused >= submitted) {
+      all.add(key(job) + " was refused each time, and is there");
+    }
+  }
+
+  private static Object key(JobView job) {
+    return job.spec().key();
+  }
+
+  void log(HistoryEvent event) {
+    history.add(event);
+  }
+
+  public List<HistoryEvent> history() {
+    return history;
+  }
+
+  String nextSend() {
+    return "send-" + sends++;
+  }
+
+  Set<VmId> leaving() {
+    return leaving;
+  }
+
+  public VirtualClock clock() {
+    return clock;
+  }
+
+  public FakeTable table() {
+    return table;
+  }
+
+  public FakeObjects objects() {
+    return objects;
+  }
+}
