policy: keep slots free for urgent work within its floor, also at the start of a flood

Change: overdue by waiting time, class floors before lifted work, kept slots only for classes whose backlog is within the burst, burst 500 ms.

--- a/masticspread-policy/src/main/java/org/masticspread/policy/request/RequestLimits.java
+++ b/masticspread-policy/src/main/java/org/masticspread/policy/request/RequestLimits.java
@@ -26,5 +26,6 @@
 
   /** The bounds of an entry VM. */
   public static final RequestLimits STANDARD =
-      new RequestLimits(20_000, 16L * 1024 * 1024, 4, 2_000, 0.3, 0.1, 0.02, Duration.ofSeconds(2));
+      new RequestLimits(
+          20_000, 16L * 1024 * 1024, 4, 2_000, 0.3, 0.1, 0.02, Duration.ofMillis(500));
 }
--- a/masticspread-policy/src/main/java/org/masticspread/policy/request/internal/Entry.java
+++ b/masticspread-policy/src/main/java/org/masticspread/policy/request/internal/Entry.java
@@ -8,6 +8,7 @@
   final RequestSpec request;
   final ClassQueue queue;
   final long answerBy;
+  long queuedAt;
   int attempts;
   int inFlight;
   boolean mayHaveRun;
--- a/masticspread-policy/src/main/java/org/masticspread/policy/request/internal/FairQueue.java
+++ b/masticspread-policy/src/main/java/org/masticspread/policy/request/internal/FairQueue.java
@@ -4,6 +4,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.TreeSet;
+import java.util.function.BiPredicate;
 import org.masticspread.model.work.Urgency;
 
 /**
@@ -14,7 +15,10 @@
  * floor in slots. Work at or before now is within its floor.
  */
 final class FairQueue {
+  private static final int BURST_REQUESTS = 4;
+  private static final int CREDIT_DIVISOR = 4;
   private static final long OVERDUE_NANOS = 250_000_000L;
+  private static final int CANDIDATES = 8;
   private static final Comparator<ClassQueue> BY_FLOOR =
       Comparator.<ClassQueue>comparingLong(q -> q.floorTag).thenComparing(q -> q.name);
   private static final Comparator<ClassQueue> BY_LIFT =
@@ -72,38 +76,69 @@
     }
   }
 
-  /** Returns the class to serve next, or null when the free slots are kept for urgent work. */
+  /**
+   * Returns the class to serve next, or null when the free slots are kept for urgent work.
+   *
+   * <p>Urgent work with unused floor takes any free slot. Other entitled work leaves half of the
+   * kept slots or all of them, unless it has unused floor and has waited for long.
+   */
   Choice choose(long now, int freeSlots, int reservedSlots) {
-    Choice choice = withinFloor(now, Urgency.URGENT, 0);
+    boolean half = freeSlots > reservedSlots / 2;
+    boolean open = freeSlots > reservedSlots;
+    Choice choice =
+        open ? withinFloor(now, Urgency.URGENT) : credited(now, Urgency.URGENT, this::isCalm);
     if (choice == null) {
-      choice = lifted(now);
+      choice =
+          half
+              ? withinFloor(now, Urgency.NORMAL)
+              : credited(now, Urgency.NORMAL, FairQueue::isOverdue);
     }
     if (choice == null) {
-      choice = withTeamFloor(now, Urgency.URGENT);
+      choice =
+          open
+              ? withinFloor(now, Urgency.DEFERRABLE)
+              : credited(now, Urgency.DEFERRABLE, FairQueue::isOverdue);
     }
-    if (choice != null) {
+    if (choice != null || !open) {
       return choice;
     }
-    boolean open = freeSlots > reservedSlots;
-    choice = withinFloor(now, Urgency.NORMAL, open ? 0 : OVERDUE_NANOS);
+    choice = lifted(now);
     if (choice == null) {
-      choice = withinFloor(now, Urgency.DEFERRABLE, open ? 0 : OVERDUE_NANOS);
+      choice = withTeamFloor(now);
     }
-    if (choice != null || !open) {
-      return choice;
-    }
-    choice = withTeamFloor(now, Urgency.DEFERRABLE);
     return choice == null ? fromSpare() : choice;
   }
 
-  private Choice withinFloor(long now, Urgency urgency, long overdueNanos) {
+  private Choice withinFloor(long now, Urgency urgency) {
     TreeSet<ClassQueue> queues = floors.get(urgency.ordinal());
-    if (queues.isEmpty() || queues.first().floorTag > now - overdueNanos) {
+    if (queues.isEmpty() || queues.first().floorTag > now) {
       return null;
     }
     return new Choice(queues.first(), Stage.CLASS_FLOOR);
   }
 
+  private Choice credited(long now, Urgency urgency, BiPredicate<ClassQueue, Long> condition) {
+    long creditNanos = burstNanos / CREDIT_DIVISOR;
+    int seen = 0;
+    for (ClassQueue queue : floors.get(urgency.ordinal())) {
+      if (queue.floorTag > now - creditNanos || seen++ == CANDIDATES) {
+        return null;
+      }
+      if (condition.test(queue, now)) {
+        return new Choice(queue, Stage.CLASS_FLOOR);
+      }
+    }
+    return null;
+  }
+
+  private boolean isCalm(ClassQueue queue, long now) {
+    return !queue.isOverFloor(now, burstNanos);
+  }
+
+  private static boolean isOverdue(ClassQueue queue, long now) {
+    return queue.entries.first().queuedAt <= now - OVERDUE_NANOS;
+  }
+
   private Choice lifted(long now) {
     for (ClassQueue queue : lifts) {
       if (queue.liftAt > now) {
@@ -116,13 +151,13 @@
     return null;
   }
 
-  private Choice withTeamFloor(long now, Urgency leastUrgent) {
+  private Choice withTeamFloor(long now) {
     for (TeamAccount team : teamFloors) {
       if (team.floorTag > now) {
         return null;
       }
-      for (int i = 0; i <= leastUrgent.ordinal(); i++) {
-        ClassQueue queue = team.leastServed(Urgency.values()[i]);
+      for (Urgency urgency : Urgency.values()) {
+        ClassQueue queue = team.leastServed(urgency);
         if (queue != null) {
           return new Choice(queue, Stage.TEAM_FLOOR);
         }
@@ -145,9 +180,10 @@
   void charge(Choice choice, long now, double costNanos) {
     ClassQueue queue = choice.queue();
     TeamAccount team = queue.team;
-    queue.floorTag = advanced(queue.floorTag, now, costNanos, queue.floorSlots);
-    team.floorTag = advanced(team.floorTag, now, costNanos, team.floorSlots);
-    team.shareTag = advanced(team.shareTag, now, costNanos, team.shareSlots);
+    double leastNanos = BURST_REQUESTS * queue.serviceTime.meanNanos();
+    queue.floorTag = advanced(queue.floorTag, now, costNanos, leastNanos, queue.floorSlots);
+    team.floorTag = advanced(team.floorTag, now, costNanos, leastNanos, team.floorSlots);
+    team.shareTag = advanced(team.shareTag, now, costNanos, leastNanos, team.shareSlots);
     if (choice.stage() != Stage.SPARE) {
       return;
     }
@@ -178,11 +214,13 @@
     return Math.max(1, team.config.weight());
   }
 
-  private long advanced(long tag, long now, double costNanos, double slots) {
+  private long advanced(
+      long tag, long now, double costNanos, double leastBurstNanos, double slots) {
     if (slots <= 0) {
       return Times.NEVER;
     }
-    return Math.max(tag, now - burstNanos) + steps(costNanos, slots);
+    long burst = Math.max(burstNanos, steps(leastBurstNanos, slots));
+    return Math.max(tag, now - burst) + steps(costNanos, slots);
   }
 
   private static long steps(double costNanos, double slots) {
--- a/masticspread-policy/src/main/java/org/masticspread/policy/request/internal/PoolScheduler.java
+++ b/masticspread-policy/src/main/java/org/masticspread/policy/request/internal/PoolScheduler.java
@@ -177,6 +177,7 @@
   private void joinQueue(Entry entry, long now, boolean first) {
     queued++;
     queuedBytes += entry.sizeBytes();
+    entry.queuedAt = now;
     expiries.add(entry, gate.tooLateAt(entry));
     ClassQueue queue = entry.queue;
     if (queue.isBacklogged() && !first) {
