--- a/masticspread-ctl/src/main/java/org/masticspread/ctl/questionnaire/Rule.java
+++ b/masticspread-ctl/src/main/java/org/masticspread/ctl/questionnaire/Rule.java
@@ -36,7 +36,10 @@
           "h", Duration.ofHours(1),
           "d", Duration.ofDays(1));
 
-  static final Rule<Boolean> YES_NO = choice(Map.of("yes", true, "no", false));
+  static final Rule<Boolean> YES_NO =
+      new Rule<>(
+          "yes or no",
+          choice(Map.of("yes", true, "true", true, "no", false, "false", false)).parse());
   static final Rule<Double> RATE_PER_SECOND =
       new Rule<>("a number with its unit, such as 20/s, 30/m, 40/h or 500/d", Rule::rate);
   static final Rule<Double> PART = new Rule<>("a percentage from 0 to 100", Rule::part);
--- a/masticspread-ctl/src/main/java/org/masticspread/ctl/questionnaire/Sentences.java
+++ b/masticspread-ctl/src/main/java/org/masticspread/ctl/questionnaire/Sentences.java
@@ -16,7 +16,7 @@
   static List<String> of(Answers answers, ConfigFile config, PoolFacts facts, Configuration cell) {
     List<String> sentences = new ArrayList<>();
     TeamConfig team = config.teams().get(0);
-    String known = cell.team(team.name()).isPresent() ? " (changed)" : " (new)";
+    String known = cell.team(team.name()).map(t -> known(t, team)).orElse(" (new)");
     sentences.add(
         "Team "
             + team.name()
@@ -32,6 +32,12 @@
     return sentences;
   }
 
+  private static String known(TeamConfig before, TeamConfig team) {
+    return before.pool().equals(team.pool())
+        ? " (changed)"
+        : " (moved from pool " + before.pool() + ")";
+  }
+
   private static void addWork(
       List<String> sentences,
       Work work,
