--- a/masticspread-ctl/src/main/java/org/masticspread/ctl/CtlCommandLine.java
+++ b/masticspread-ctl/src/main/java/org/masticspread/ctl/CtlCommandLine.java
@@ -49,6 +49,7 @@
     register(line, Long.class, numbers(Long::valueOf, "a whole number"));
     register(line, long.class, numbers(Long::valueOf, "a whole number"));
     register(line, Double.class, numbers(Double::valueOf, "a number"));
+    register(line, Boolean.class, CtlCommandLine::truth);
     register(line, TeamId.class, TeamId::of);
     register(line, WorkClassId.class, WorkClassId::of);
     register(line, PoolId.class, PoolId::of);
@@ -133,6 +134,13 @@
     };
   }
 
+  private static Boolean truth(String text) {
+    if (text.equals("true") || text.equals("false")) {
+      return Boolean.valueOf(text);
+    }
+    throw new IllegalArgumentException("'" + text + "' is not allowed; allowed: true or false");
+  }
+
   private static int badUsage(ParameterException e, CtlContext context) {
     context.err().println("masticctl: " + e.getMessage());
     if (e instanceof MissingParameterException missing) {
--- a/masticspread-ctl/src/main/java/org/masticspread/ctl/command/entity/WorkClassFlags.java
+++ b/masticspread-ctl/src/main/java/org/masticspread/ctl/command/entity/WorkClassFlags.java
@@ -26,6 +26,7 @@
 
   @Option(
       names = "--idempotent",
+      arity = "1",
       paramLabel = "true|false",
       description = "Whether its work may run more than once.")
   private Boolean idempotent;
--- a/masticspread-ctl/src/main/java/org/masticspread/ctl/command/work/JobSubmitCommand.java
+++ b/masticspread-ctl/src/main/java/org/masticspread/ctl/command/work/JobSubmitCommand.java
@@ -103,6 +103,7 @@
 
   @Option(
       names = "--idempotent",
+      arity = "1",
       paramLabel = "true|false",
       description = "Whether a task may run more than once; that of the work class when missing.")
   private Boolean idempotent;
--- a/masticspread-ctl/src/main/java/org/masticspread/ctl/config/ConfigFile.java
+++ b/masticspread-ctl/src/main/java/org/masticspread/ctl/config/ConfigFile.java
@@ -12,6 +12,7 @@
 import org.masticspread.model.config.WorkClassConfig;
 import org.masticspread.model.config.WorkerConfig;
 import org.masticspread.model.result.InvalidFieldException;
+import org.masticspread.model.result.MasticspreadException;
 
 /**
  * A configuration as a YAML file holds it; a missing section counts as empty.
@@ -39,17 +40,15 @@
    *
    * @param file the file
    * @return its content
-   * @throws InvalidFieldException if it can't be read or a field is wrong; the error names the file
+   * @throws MasticspreadException if it can't be read or a field is wrong; the error names the file
    *     and the field
    */
-  public static ConfigFile read(Path file) throws InvalidFieldException {
+  public static ConfigFile read(Path file) throws MasticspreadException {
     byte[] bytes = bytes(file);
     try {
       return InputReader.yaml().read(bytes, ConfigFile.class);
     } catch (InvalidFieldException e) {
-      String message = e.getMessage();
-      String reason = message.substring(Math.min(message.length(), e.field().length() + 2));
-      throw new InvalidFieldException(file + ": " + e.field(), "value", reason);
+      throw new MasticspreadException(e.code(), file + ": " + e.getMessage(), e);
     }
   }
 
--- a/masticspread-ctl/src/main/java/org/masticspread/ctl/output/RecordTable.java
+++ b/masticspread-ctl/src/main/java/org/masticspread/ctl/output/RecordTable.java
@@ -3,6 +3,8 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import java.io.PrintWriter;
 import java.lang.reflect.RecordComponent;
+import java.math.BigDecimal;
+import java.math.MathContext;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Locale;
@@ -11,6 +13,7 @@
 /** Prints records as a table with a column for each field. */
 public final class RecordTable {
   private static final String NONE = "(none)";
+  private static final int DIGITS = 4;
 
   private RecordTable() {}
 
@@ -45,6 +48,13 @@
     if (value == null) {
       return null;
     }
+    if (value.isDouble()) {
+      return shortNumber(value.decimalValue());
+    }
     return value.isValueNode() ? value.asText() : value.toString().replace("\"", "");
   }
+
+  private static String shortNumber(BigDecimal number) {
+    return number.round(new MathContext(DIGITS)).stripTrailingZeros().toPlainString();
+  }
 }
--- a/masticspread-ctl/src/main/java/org/masticspread/ctl/questionnaire/Generator.java
+++ b/masticspread-ctl/src/main/java/org/masticspread/ctl/questionnaire/Generator.java
@@ -1,6 +1,7 @@
 package org.masticspread.ctl.questionnaire;
 
 import java.math.BigDecimal;
+import java.math.MathContext;
 import java.math.RoundingMode;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -22,6 +23,7 @@
 public final class Generator {
   private static final Duration MAX_ANSWER_TIME = Duration.ofHours(1);
   private static final int FLOOR_DIGITS = 4;
+  private static final int RATE_DIGITS = 4;
   private static final int MIN_QUEUE = 16;
   private static final int MAX_QUEUE = 100_000;
   private static final long MIN_QUEUE_BYTES = 64L << 10;
@@ -94,7 +96,7 @@
         !work.atMostOnce(),
         floor,
         within,
-        work.ratePerSecond(),
+        rounded(work.ratePerSecond()),
         queue,
         queueBytes(work, queue),
         false);
@@ -118,4 +120,8 @@
   private static double roundDown(double part) {
     return BigDecimal.valueOf(part).setScale(FLOOR_DIGITS, RoundingMode.FLOOR).doubleValue();
   }
+
+  private static double rounded(double rate) {
+    return BigDecimal.valueOf(rate).round(new MathContext(RATE_DIGITS)).doubleValue();
+  }
 }
