--- a/masticspread-policy/src/main/java/org/masticspread/policy/gang/GangPlanner.java
+++ b/masticspread-policy/src/main/java/org/masticspread/policy/gang/GangPlanner.java
@@ -214,7 +214,7 @@
   }
 
   private List<GangCommand> giveUp(Instant now) {
-    List<GangCommand> commands = releaseAll();
+    final List<GangCommand> commands = releaseAll();
     phase = Phase.IDLE;
     Duration backoff = times.minBackoff().multipliedBy(1L << Math.min(failures, 10));
     failures++;
