--- /dev/null
+++ b/masticspread-platform/src/test/java/org/masticspread/platform/contract/MemoryContractTest.java
@@ -0,0 +1,46 @@
+package org.masticspread.platform.contract;
+
+import org.junit.jupiter.api.Nested;
+
+/** The stand-ins pass each contract in memory. */
+class MemoryContractTest {
+  @Nested
+  class Table extends TableContract {
+    @Override
+    PlatformFixture open() {
+      return PlatformFixture.inMemory();
+    }
+  }
+
+  @Nested
+  class Objects extends ObjectsContract {
+    @Override
+    PlatformFixture open() {
+      return PlatformFixture.inMemory();
+    }
+  }
+
+  @Nested
+  class Membership extends MembershipContract {
+    @Override
+    PlatformFixture open() {
+      return PlatformFixture.inMemory();
+    }
+  }
+
+  @Nested
+  class Worker extends WorkerContract {
+    @Override
+    PlatformFixture open() {
+      return PlatformFixture.inMemory();
+    }
+  }
+
+  @Nested
+  class Endpoint extends EndpointContract {
+    @Override
+    PlatformFixture open() {
+      return PlatformFixture.inMemory();
+    }
+  }
+}
--- /dev/null
+++ b/masticspread-platform/src/test/java/org/masticspread/platform/contract/PlatformContract.java
@@ -0,0 +1,21 @@
+package org.masticspread.platform.contract;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+
+/** What each contract shares: a platform that is opened for each test. */
+abstract class PlatformContract {
+  PlatformFixture platform;
+
+  abstract PlatformFixture open();
+
+  @BeforeEach
+  void openPlatform() {
+    platform = open();
+  }
+
+  @AfterEach
+  void closePlatform() {
+    platform.close();
+  }
+}
