Node: peers, platform over HTTP, graceful stop

Cause: the path must run as separate processes and stop without cutting off work. Change: link to peers, HTTP platform, graceful stop in steps, injected threads and time.

--- a/masticspread-node/src/main/java/org/masticspread/node/job/JobShards.java
+++ b/masticspread-node/src/main/java/org/masticspread/node/job/JobShards.java
@@ -172,6 +172,9 @@
     Set<RackId> racks =
         configuration.workers().stream().map(WorkerConfig::rack).collect(Collectors.toSet());
     for (JobShard shard : shards.values()) {
+      if (shard.isReleasing()) {
+        continue;
+      }
       JobShard.Recovery before = shard.recovery();
       JobShard.Recovery after = shard.advance(racks, now, now.plus(context.times().settle()));
       if (after == JobShard.Recovery.READY && before != after) {
--- a/masticspread-node/src/main/java/org/masticspread/node/launch/Node.java
+++ b/masticspread-node/src/main/java/org/masticspread/node/launch/Node.java
@@ -3,7 +3,6 @@
 import com.codahale.metrics.MetricRegistry;
 import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
-import java.time.Instant;
 import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -14,8 +13,6 @@
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
-import java.util.concurrent.Executor;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.stream.Collectors;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
@@ -58,6 +55,7 @@
 import org.masticspread.node.request.RepeatBudget;
 import org.masticspread.node.request.RequestGate;
 import org.masticspread.node.settings.NodeSettings;
+import org.masticspread.node.stop.GracefulStop;
 import org.masticspread.policy.estimate.Estimates;
 import org.masticspread.policy.health.TroubleDetector;
 import org.masticspread.policy.jobs.JobQueue;
@@ -71,7 +69,7 @@
  * <p>Example: {@code Node node = Node.of(settings, platform, InstantSource.system());
  * node.connect(peers); node.start();}.
  */
-public final class Node implements AutoCloseable {
+public final class Node implements AutoCloseable, GracefulStop.Stoppable {
   private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
   private static final Duration HOME_TICK = Duration.ofMillis(10);
   private static final Duration SCHEDULE_TICK = Duration.ofMillis(50);
@@ -88,10 +86,10 @@
   private final NodeSettings settings;
   private final Platform platform;
   private final InstantSource clock;
-  private final Threads threads = new Threads();
-  private final Loops loops = new Loops(threads.loops());
+  private final Threads threads;
+  private final Loops loops;
   private final MetricRegistry metrics = new MetricRegistry();
-  private final UniformRandomProvider random = RandomSource.XO_SHI_RO_256_PP.create();
+  private final UniformRandomProvider random;
   private final Members members;
   private final NodeState state;
   private final NodeConfig config;
@@ -108,17 +106,22 @@
   private final PeerHandler handler;
   private ShardEvents events;
   private volatile PeerPort peers = Node::unreachable;
+  private volatile String address = "";
   private volatile boolean stopping;
   private volatile boolean started;
 
-  private Node(NodeSettings settings, Platform platform, InstantSource clock) {
+  private Node(
+      NodeSettings settings, Platform platform, InstantSource clock, Threads threads) {
+    this.threads = threads;
+    this.random = RandomSource.XO_SHI_RO_256_PP.create(threads.seed());
+    this.loops = new Loops(threads.loops());
     this.settings = settings;
     this.platform = platform;
     this.clock = clock;
     NodeSettings.Timing timing = settings.timing();
     VmId self = settings.vm();
-    members = new Members(self, System::nanoTime, timing.gossip().multipliedBy(4));
-    state = new NodeState(settings, platform, clock, random, metrics, () -> events);
+    members = new Members(self, threads.nanos(), timing.gossip().multipliedBy(4));
+    state = new NodeState(settings, platform, clock, threads.nanos(), RandomSource.XO_SHI_RO_256_PP.create(random.nextLong()), metrics, () -> events);
     Authority authority = new SessionAuthority(self, state.session(), members);
     DecisionLog decisions = new DecisionLog(self, clock);
     ShardMap map = state.map();
@@ -134,7 +137,7 @@
             clock,
             decisions,
             new RepeatBudget(REPEAT_PART, MOST_REPEATS),
-            bound -> ThreadLocalRandom.current().nextInt(bound));
+            this::choose);
     ShardCalls shardCalls = new ShardCalls(members, calls, clock, threads.timers());
     RackTimes rackTimes = new RackTimes(timing.workerLease(), timing.skewMargin(), PLACE_WINDOW);
     racks =
@@ -186,19 +189,23 @@
    * @param settings its settings
    * @param platform the platform
    * @param clock the clock
+   * @param threads where its work runs
    * @return the node, not started
    */
-  public static Node of(NodeSettings settings, Platform platform, InstantSource clock) {
-    return new Node(settings, platform, clock);
+  public static Node of(
+      NodeSettings settings, Platform platform, InstantSource clock, Threads threads) {
+    return new Node(settings, platform, clock, threads);
   }
 
   /**
    * Connects the node to its peers; without it the node is alone.
    *
    * @param port calls to other VMs
+   * @param reachedAt host and port where they reach this one
    */
-  public void connect(PeerPort port) {
+  public void connect(PeerPort port, String reachedAt) {
     peers = port;
+    address = reachedAt;
   }
 
   /** Starts every loop. The session opens as soon as the store answers. */
@@ -222,6 +229,12 @@
     LOG.atInfo().log("node: %s started", settings.vm());
   }
 
+  private int choose(int bound) {
+    synchronized (random) {
+      return random.nextInt(bound);
+    }
+  }
+
   private void configure(Configuration configuration) {
     jobs.configure(configuration);
     racks.configure(configuration);
@@ -246,7 +259,7 @@
 
   private Member member() {
     return new Member(
-        settings.vm(), settings.dataCentre(), settings.listenPeers().toString(), stopping);
+        settings.vm(), settings.dataCentre(), address, stopping);
   }
 
   private void tell() {
@@ -338,15 +351,6 @@
             settings.timing().longestAnswer()));
   }
 
-  /**
-   * Returns the executor of the HTTP interface.
-   *
-   * @return the executor of calls that may block on the store
-   */
-  public Executor executor() {
-    return threads.blocking();
-  }
-
   /**
    * Returns the metrics.
    *
@@ -369,11 +373,7 @@
     return started && !stopping && config.inForce().revision() > 0;
   }
 
-  /**
-   * Counts what is in flight here, for a graceful stop.
-   *
-   * @return what is in flight to how much
-   */
+  @Override
   public Map<String, Integer> inFlight() {
     Map<String, Integer> left = new HashMap<>();
     left.put("requests", requests.inFlight());
@@ -382,21 +382,16 @@
     return left;
   }
 
-  /** Tells everyone that this node is about to stop; it takes no new work from callers. */
+  @Override
   public void leave() {
     stopping = true;
     membership();
     gossip.tell();
   }
 
-  /**
-   * Hands over shards until none is left.
-   *
-   * @param until when to give up
-   * @return whether nothing is left
-   */
-  public boolean handOver(Instant until) {
-    return state.handOver(until);
+  @Override
+  public boolean handOver() {
+    return state.handOver();
   }
 
   @Override
--- a/masticspread-node/src/main/java/org/masticspread/node/launch/NodeProcess.java
+++ b/masticspread-node/src/main/java/org/masticspread/node/launch/NodeProcess.java
@@ -1,58 +1,99 @@
 package org.masticspread.node.launch;
 
 import com.google.common.flogger.FluentLogger;
-import io.reactivex.rxjava3.schedulers.Schedulers;
+import java.time.Duration;
 import java.time.InstantSource;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Supplier;
 import org.masticspread.model.config.Configuration;
 import org.masticspread.model.result.MasticspreadException;
+import org.masticspread.model.result.ResultCode;
 import org.masticspread.node.api.ApiServer;
 import org.masticspread.node.settings.NodeSettings;
 import org.masticspread.node.settings.PlatformKind;
+import org.masticspread.node.stop.GracefulStop;
+import org.masticspread.platform.http.PlatformServer;
 import org.masticspread.platform.standin.Faults;
+import sun.misc.Signal;
 
 /** Runs a node as a process: platform, interfaces, and a graceful stop by signal. */
 public final class NodeProcess {
   private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+  private static final int EXIT_WORK_LEFT = 3;
+  private static final Duration STOP_STEP = Duration.ofMillis(50);
+  private static final int QUIET_GOSSIPS = 3;
 
-  private NodeProcess() {}
+  private final NodeSettings settings;
+  private final InstantSource clock = InstantSource.system();
+  private final Threads threads = Threads.real();
+  private final CountDownLatch stop = new CountDownLatch(1);
+  private final AtomicReference<GracefulStop> stopping = new AtomicReference<>();
+
+  private NodeProcess(NodeSettings settings) {
+    this.settings = settings;
+  }
 
   /**
-   * Runs a node until it is stopped.
+   * Runs a node until it is stopped by SIGTERM or SIGINT.
    *
    * @param settings the checked settings
    * @return the exit code
    * @throws MasticspreadException if the node can't start
    */
   public static int run(NodeSettings settings) throws MasticspreadException {
-    InstantSource clock = InstantSource.system();
-    Platform platform = platform(settings, clock);
-    Node node = Node.of(settings, platform, clock);
-    ApiServer api =
-        ApiServer.with(node.routes(), node.metrics())
-            .limits(settings.maxBodyBytes())
-            .listen(settings.listenApi(), node.executor());
-    node.start();
-    seed(settings, node);
-    CountDownLatch stop = new CountDownLatch(1);
-    Runtime.getRuntime().addShutdownHook(new Thread(stop::countDown));
-    await(stop);
-    api.close();
-    node.close();
-    return 0;
+    return new NodeProcess(settings).run();
+  }
+
+  private int run() throws MasticspreadException {
+    AtomicReference<Node> node = new AtomicReference<>();
+    Platform platform = platform(() -> node.get().config().inForce());
+    node.set(Node.of(settings, platform, clock, threads));
+    try (PeerLink peers = PeerLink.open(settings, node.get(), threads.timers());
+        ApiServer api = listen(node.get())) {
+      LOG.atInfo().log("node: peers at %s, calls at port %d", peers.address(), api.port());
+      node.get().start();
+      seed(node.get());
+      Signal.handle(new Signal("TERM"), s -> onSignal());
+      Signal.handle(new Signal("INT"), s -> onSignal());
+      stop.await();
+      return stop(node.get());
+    } catch (InterruptedException e) {
+      throw new MasticspreadException(ResultCode.INTERNAL_ERROR, "interrupted", e);
+    } finally {
+      node.get().close();
+    }
+  }
+
+  private ApiServer listen(Node node) {
+    return ApiServer.with(node.routes(), node.metrics())
+        .limits(settings.maxBodyBytes())
+        .listen(settings.listenApi(), threads.blocking());
   }
 
-  private static Platform platform(NodeSettings settings, InstantSource clock)
+  private Platform platform(Supplier<Configuration> inForce)
       throws MasticspreadException {
-    if (settings.platform() == PlatformKind.EMBEDDED) {
-      Configuration cell = EmbeddedCell.named(settings.embeddedCell());
-      return EmbeddedPlatform.of(cell, clock, Schedulers.computation(), Faults.none()).ports();
+    if (settings.platform() == PlatformKind.HTTP) {
+      return HttpPlatform.at(settings.platformUrl(), inForce);
     }
-    throw new UnsupportedOperationException("http");
+    Configuration cell = EmbeddedCell.named(settings.embeddedCell());
+    Platform ports =
+        EmbeddedPlatform.of(cell, clock, threads.timers(), Faults.none()).ports();
+    if (settings.platformListen() != null) {
+      PlatformServer.of(
+              ports.table(),
+              ports.objects(),
+              ports.membership(),
+              ports.workers(),
+              ports.endpoints())
+          .listen(settings.platformListen().port());
+    }
+    return ports;
   }
 
   /** Gives an embedded platform the configuration of its cell, unless it has one. */
-  private static void seed(NodeSettings settings, Node node) throws MasticspreadException {
+  private void seed(Node node) throws MasticspreadException {
     if (settings.platform() != PlatformKind.EMBEDDED) {
       return;
     }
@@ -63,11 +104,23 @@
     }
   }
 
-  private static void await(CountDownLatch stop) {
-    try {
-      stop.await();
-    } catch (InterruptedException e) {
-      LOG.atInfo().log("node: interrupted");
+  private void onSignal() {
+    GracefulStop running = stopping.get();
+    if (running != null) {
+      running.force();
+    }
+    stop.countDown();
+  }
+
+  private int stop(Node node) throws InterruptedException {
+    NodeSettings.Timing timing = settings.timing();
+    GracefulStop graceful =
+        new GracefulStop(
+            node, clock, timing.stopWithin(), timing.gossip().multipliedBy(QUIET_GOSSIPS));
+    stopping.set(graceful);
+    while (!graceful.step()) {
+      TimeUnit.MILLISECONDS.sleep(STOP_STEP.toMillis());
     }
+    return graceful.isWhole() ? 0 : EXIT_WORK_LEFT;
   }
 }
--- a/masticspread-node/src/main/java/org/masticspread/node/launch/NodeState.java
+++ b/masticspread-node/src/main/java/org/masticspread/node/launch/NodeState.java
@@ -12,6 +12,7 @@
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import java.util.function.ToLongFunction;
 import org.apache.commons.rng.UniformRandomProvider;
@@ -45,11 +46,11 @@
 final class NodeState {
   private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
   private static final Duration JOBS_KEPT = Duration.ofDays(1);
-  private static final Duration STOP_STEP = Duration.ofMillis(50);
 
   private final NodeSettings settings;
   private final Platform platform;
   private final InstantSource clock;
+  private final LongSupplier nanos;
   private final UniformRandomProvider random;
   private final ShardMap map;
   private final SessionKeeper session;
@@ -65,12 +66,14 @@
       NodeSettings settings,
       Platform platform,
       InstantSource clock,
+      LongSupplier nanos,
       UniformRandomProvider random,
       MetricRegistry metrics,
       Supplier<? extends OwnershipListener> listener) {
     this.settings = settings;
     this.platform = platform;
     this.clock = clock;
+    this.nanos = nanos;
     this.random = random;
     this.listener = listener;
     this.map = new ShardMap(settings.workShards());
@@ -85,8 +88,8 @@
             settings.listenPeers().toString(),
             settings.dataCentre(),
             UUID.randomUUID().toString(),
-            System::nanoTime);
-    this.watcher = new SessionWatcher(platform.table(), times, session, System::nanoTime);
+            nanos);
+    this.watcher = new SessionWatcher(platform.table(), times, session, nanos);
     metrics.gauge("journal.rows", () -> () -> rows(Journal::rowsWritten));
     metrics.gauge("journal.bytes", () -> () -> rows(Journal::bytesWritten));
     metrics.gauge("journal.pending", () -> () -> rows(j -> (long) j.pending()));
@@ -137,7 +140,7 @@
               JournalSettings.DEFAULT,
               states,
               clock,
-              System::nanoTime,
+              nanos,
               random);
       ShardOwnership ownership =
           new ShardOwnership(
@@ -213,28 +216,14 @@
     return now == null ? Map.of() : now.ownership().held();
   }
 
-  /** Releases all shards, flushing in between. */
-  boolean handOver(Instant until) {
+  /** Goes on with the release of all shards; returns whether none is left. */
+  boolean handOver() {
     Durable now = durable;
     if (now == null) {
       return true;
     }
-    while (clock.instant().isBefore(until)) {
-      if (now.ownership().releaseAll()) {
-        return true;
-      }
-      now.journal().flush();
-      pause();
-    }
-    return false;
-  }
-
-  private static void pause() {
-    try {
-      Thread.sleep(STOP_STEP.toMillis());
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-    }
+    now.journal().flush();
+    return now.ownership().releaseAll();
   }
 
   /** Ends the session, so that no peer has to wait for its TTL. */
--- a/masticspread-node/src/main/java/org/masticspread/node/launch/Threads.java
+++ b/masticspread-node/src/main/java/org/masticspread/node/launch/Threads.java
@@ -2,37 +2,50 @@
 
 import io.reactivex.rxjava3.core.Scheduler;
 import io.reactivex.rxjava3.schedulers.Schedulers;
+import java.util.concurrent.Executor;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ThreadFactory;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.LongSupplier;
+import org.apache.commons.rng.simple.RandomSource;
 
-/** The threads of a node. */
-final class Threads implements AutoCloseable {
-  private static final int CALL_THREADS = 4;
+/**
+ * Where the work of a node runs, its monotonic time, and the seed of its random choices.
+ *
+ * <p>Example: {@code Threads.real()} in a process; a test passes one scheduler of virtual time.
+ *
+ * @param loops runs periodic work, which may block
+ * @param timers runs short timers
+ * @param blocking runs calls that block on the store or on workers
+ * @param nanos monotonic nanoseconds
+ * @param seed the seed of random choices
+ * @param end stops the threads
+ */
+public record Threads(
+    Scheduler loops, Scheduler timers, Executor blocking, LongSupplier nanos, long seed, Runnable end)
+    implements AutoCloseable {
+  private static final int TIMER_THREADS = 4;
   private static final int BLOCKING_THREADS = 24;
 
-  private final ExecutorService calls = pool("call", CALL_THREADS);
-  private final ExecutorService blocking = pool("blocking", BLOCKING_THREADS);
-
-  /** Runs calls that do not block. */
-  ExecutorService calls() {
-    return calls;
-  }
-
-  /** Runs calls that block on the store or on workers. */
-  ExecutorService blocking() {
-    return blocking;
-  }
-
-  /** Runs timers of work that may block. */
-  Scheduler loops() {
-    return Schedulers.from(blocking);
-  }
-
-  /** Runs short timers. */
-  Scheduler timers() {
-    return Schedulers.from(calls);
+  /**
+   * Starts the threads of a process.
+   *
+   * @return the threads
+   */
+  public static Threads real() {
+    ExecutorService timers = pool("timer", TIMER_THREADS);
+    ExecutorService blocking = pool("blocking", BLOCKING_THREADS);
+    return new Threads(
+        Schedulers.from(blocking),
+        Schedulers.from(timers),
+        blocking,
+        System::nanoTime,
+        RandomSource.createLong(),
+        () -> {
+          timers.shutdownNow();
+          blocking.shutdownNow();
+        });
   }
 
   private static ExecutorService pool(String name, int threads) {
@@ -48,7 +61,6 @@
 
   @Override
   public void close() {
-    calls.shutdownNow();
-    blocking.shutdownNow();
+    end.run();
   }
 }
--- a/masticspread-node/src/main/java/org/masticspread/node/settings/SettingsCheck.java
+++ b/masticspread-node/src/main/java/org/masticspread/node/settings/SettingsCheck.java
@@ -131,7 +131,12 @@
       throw new InvalidFieldException(
           "--platform-listen", options.platformListen, "only with --platform embedded");
     }
-    return HostPort.parse("--platform-listen", options.platformListen);
+    HostPort address = HostPort.parse("--platform-listen", options.platformListen);
+    if (!address.isLoopback()) {
+      throw new InvalidFieldException(
+          "--platform-listen", options.platformListen, "a loopback address");
+    }
+    return address;
   }
 
   private String clusterKey(PlatformKind platform) throws InvalidFieldException {
@@ -181,9 +186,6 @@
     }
     requireLoopback("--listen-api", settings.listenApi());
     requireLoopback("--listen-peers", settings.listenPeers());
-    if (settings.platformListen() != null) {
-      requireLoopback("--platform-listen", settings.platformListen());
-    }
   }
 
   private static void requireLoopback(String flag, HostPort address) throws InvalidFieldException {
