--- /dev/null
+++ b/masticspread-wire/src/main/java/org/masticspread/wire/internal/Link.java
@@ -0,0 +1,115 @@
+package org.masticspread.wire.internal;
+
+import com.google.common.flogger.FluentLogger;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+import org.masticspread.model.id.VmId;
+import org.masticspread.wire.MessageTypes;
+import org.masticspread.wire.WireFormatException;
+
+/** The calls of one authenticated connection to a peer. Thread-safe. */
+final class Link extends SimpleChannelInboundHandler<Frame> {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  private final Wire wire;
+  private final VmId peer;
+  private final Channel channel;
+  private final Runnable whenLeaving;
+  private final Map<Long, PendingCall> pending = new ConcurrentHashMap<>();
+  private final AtomicLong ids = new AtomicLong();
+  private volatile boolean leaving;
+
+  Link(Wire wire, VmId peer, Channel channel, Runnable whenLeaving) {
+    this.wire = wire;
+    this.peer = peer;
+    this.channel = channel;
+    this.whenLeaving = whenLeaving;
+  }
+
+  void send(PendingCall call) {
+    if (!channel.isWritable()) {
+      call.fail(false, channel.isActive() ? "the write queue is full" : "the connection is lost");
+      return;
+    }
+    long id = ids.incrementAndGet();
+    pending.put(id, call);
+    channel
+        .writeAndFlush(call.handOver(id))
+        .addListener(
+            written -> {
+              if (!written.isSuccess()) {
+                pending.remove(id);
+                call.fail(false, "not written: " + written.cause().getMessage());
+              }
+            });
+  }
+
+  /** Forgets calls that ended by their deadline. */
+  void forgetEnded() {
+    pending.values().removeIf(PendingCall::hasEnded);
+    closeIfDone();
+  }
+
+  /** Closes the connection once its last call has ended. */
+  void leave() {
+    leaving = true;
+    closeIfDone();
+  }
+
+  void close() {
+    channel.close();
+  }
+
+  @Override
+  protected void channelRead0(ChannelHandlerContext context, Frame frame) {
+    if (frame.kind() == Frame.GOODBYE) {
+      whenLeaving.run();
+      leave();
+      return;
+    }
+    PendingCall call = frame.isAnswer() ? pending.remove(frame.id()) : null;
+    if (call == null || call.hasEnded()) {
+      wire.metrics().droppedAnswer();
+      return;
+    }
+    settle(call, frame);
+    closeIfDone();
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext context) {
+    pending.values().forEach(call -> call.fail("the connection to " + peer + " was lost"));
+    pending.clear();
+    context.fireChannelInactive();
+  }
+
+  @Override
+  public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+    logger.atWarning().log("wire: connection to %s failed: %s", peer, cause.getMessage());
+    context.close();
+  }
+
+  private void settle(PendingCall call, Frame frame) {
+    if (frame.kind() == Frame.FAILURE) {
+      String detail = new String(frame.body(), StandardCharsets.UTF_8);
+      call.fail(!frame.isNotDone(), peer + ": " + detail);
+      return;
+    }
+    try {
+      call.succeed(MessageTypes.read(frame.kind(), frame.body()));
+    } catch (WireFormatException e) {
+      call.fail(true, peer + ": " + e.getMessage());
+    }
+  }
+
+  private void closeIfDone() {
+    if (leaving && pending.isEmpty()) {
+      channel.close();
+    }
+  }
+}
--- /dev/null
+++ b/masticspread-wire/src/main/java/org/masticspread/wire/package-info.java
@@ -0,0 +1,2 @@
+/** The inner protocol between VMs: connections, messages and their limits. */
+package org.masticspread.wire;
