--- a/masticspread-node/src/main/java/org/masticspread/node/launch/Node.java
+++ b/masticspread-node/src/main/java/org/masticspread/node/launch/Node.java
@@ -110,8 +110,7 @@
   private volatile boolean stopping;
   private volatile boolean started;
 
-  private Node(
-      NodeSettings settings, Platform platform, InstantSource clock, Threads threads) {
+  private Node(NodeSettings settings, Platform platform, InstantSource clock, Threads threads) {
     this.threads = threads;
     this.random = RandomSource.XO_SHI_RO_256_PP.create(threads.seed());
     this.loops = new Loops(threads.loops());
@@ -121,7 +120,15 @@
     NodeSettings.Timing timing = settings.timing();
     VmId self = settings.vm();
     members = new Members(self, threads.nanos(), timing.gossip().multipliedBy(4));
-    state = new NodeState(settings, platform, clock, threads.nanos(), RandomSource.XO_SHI_RO_256_PP.create(random.nextLong()), metrics, () -> events);
+    state =
+        new NodeState(
+            settings,
+            platform,
+            clock,
+            threads.nanos(),
+            RandomSource.XO_SHI_RO_256_PP.create(random.nextLong()),
+            metrics,
+            () -> events);
     Authority authority = new SessionAuthority(self, state.session(), members);
     DecisionLog decisions = new DecisionLog(self, clock);
     ShardMap map = state.map();
@@ -258,8 +265,7 @@
   }
 
   private Member member() {
-    return new Member(
-        settings.vm(), settings.dataCentre(), address, stopping);
+    return new Member(settings.vm(), settings.dataCentre(), address, stopping);
   }
 
   private void tell() {
--- a/masticspread-node/src/main/java/org/masticspread/node/launch/NodeProcess.java
+++ b/masticspread-node/src/main/java/org/masticspread/node/launch/NodeProcess.java
@@ -72,14 +72,12 @@
         .listen(settings.listenApi(), threads.blocking());
   }
 
-  private Platform platform(Supplier<Configuration> inForce)
-      throws MasticspreadException {
+  private Platform platform(Supplier<Configuration> inForce) throws MasticspreadException {
     if (settings.platform() == PlatformKind.HTTP) {
       return HttpPlatform.at(settings.platformUrl(), inForce);
     }
     Configuration cell = EmbeddedCell.named(settings.embeddedCell());
-    Platform ports =
-        EmbeddedPlatform.of(cell, clock, threads.timers(), Faults.none()).ports();
+    Platform ports = EmbeddedPlatform.of(cell, clock, threads.timers(), Faults.none()).ports();
     if (settings.platformListen() != null) {
       PlatformServer.of(
               ports.table(),
--- a/masticspread-node/src/main/java/org/masticspread/node/launch/NodeState.java
+++ b/masticspread-node/src/main/java/org/masticspread/node/launch/NodeState.java
@@ -135,13 +135,7 @@
       ShardStates states = new ShardStates();
       Journal journal =
           new Journal(
-              platform.table(),
-              self,
-              JournalSettings.DEFAULT,
-              states,
-              clock,
-              nanos,
-              random);
+              platform.table(), self, JournalSettings.DEFAULT, states, clock, nanos, random);
       ShardOwnership ownership =
           new ShardOwnership(
               platform.table(),
--- a/masticspread-node/src/main/java/org/masticspread/node/launch/Threads.java
+++ b/masticspread-node/src/main/java/org/masticspread/node/launch/Threads.java
@@ -23,7 +23,12 @@
  * @param end stops the threads
  */
 public record Threads(
-    Scheduler loops, Scheduler timers, Executor blocking, LongSupplier nanos, long seed, Runnable end)
+    Scheduler loops,
+    Scheduler timers,
+    Executor blocking,
+    LongSupplier nanos,
+    long seed,
+    Runnable end)
     implements AutoCloseable {
   private static final int TIMER_THREADS = 4;
   private static final int BLOCKING_THREADS = 24;
--- a/masticspread-wire/src/main/java/org/masticspread/wire/MessageTypes.java
+++ b/masticspread-wire/src/main/java/org/masticspread/wire/MessageTypes.java
@@ -11,6 +11,8 @@
 import org.masticspread.model.peer.CancelJob;
 import org.masticspread.model.peer.ConfigFetched;
 import org.masticspread.model.peer.Digest;
+import org.masticspread.model.peer.Explain;
+import org.masticspread.model.peer.Explained;
 import org.masticspread.model.peer.FetchConfig;
 import org.masticspread.model.peer.GangReserved;
 import org.masticspread.model.peer.InFlight;
@@ -69,7 +71,9 @@
           entry(121, GangReserved.class),
           entry(122, ReleaseGang.class),
           entry(123, FetchConfig.class),
-          entry(124, ConfigFetched.class));
+          entry(124, ConfigFetched.class),
+          entry(125, Explain.class),
+          entry(126, Explained.class));
 
   private static final Map<Class<?>, Integer> NUMBERS =
       TYPES.entrySet().stream().collect(Collectors.toMap(Map.Entry::getValue, Map.Entry::getKey));
