State: tests of each part; claims in doubt are repeated as they are

Change: a claim that may have landed is kept until the shard is held or another claim came first, and repeated unchanged; jobs still under way count as active.

--- a/masticspread-state/src/main/java/org/masticspread/state/ownership/ShardOwnership.java
+++ b/masticspread-state/src/main/java/org/masticspread/state/ownership/ShardOwnership.java
@@ -39,7 +39,8 @@
   private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
 
   /**
-   * A claim whose answer was lost. While it may still take effect, its sources must be kept.
+   * A claim that may have taken effect, or still may, and whose shard is not held yet. Its sources
+   * must be kept, and it is repeated as it is.
    *
    * @param version the version of the row that it depends on
    * @param claimed the row that it writes
@@ -115,7 +116,7 @@
     Map<ShardId, Versioned> rows = shardTable.scan();
     owners = ownersOf(rows);
     dropForeign(rows);
-    claimsInDoubt.entrySet().removeIf(c -> isSettled(c.getValue(), rows.get(c.getKey())));
+    claimsInDoubt.entrySet().removeIf(c -> isSuperseded(c.getValue(), rows.get(c.getKey())));
     if (!session.isHeld()) {
       return;
     }
@@ -187,10 +188,9 @@
   }
 
   private void claim(ShardId shard, Versioned before, ShardRecovery recovery) {
-    ShardRow claimed =
-        shard.kind() == ShardKind.RACK
-            ? before.row().claimedBy(self())
-            : before.row().claimedBy(self(), journal.nextSeq());
+    ClaimInDoubt doubted = claimsInDoubt.get(shard);
+    boolean repeated = doubted != null && doubted.version() == before.version();
+    ShardRow claimed = repeated ? doubted.claimed() : claimOf(shard, before.row());
     try {
       shardTable.write(shard, before.version(), claimed, self());
     } catch (ConditionFailedException e) {
@@ -201,9 +201,16 @@
       LOG.atWarning().log("ownership: claim of %s failed: %s", shard, e.getMessage());
       return;
     }
+    claimsInDoubt.put(shard, new ClaimInDoubt(before.version(), claimed));
     acquire(shard, new Versioned(claimed, before.version() + 1), recovery);
   }
 
+  private ShardRow claimOf(ShardId shard, ShardRow before) {
+    return shard.kind() == ShardKind.RACK
+        ? before.claimedBy(self())
+        : before.claimedBy(self(), journal.nextSeq());
+  }
+
   private void acquire(ShardId shard, Versioned row, ShardRecovery recovery) {
     WorkShardState state = null;
     if (shard.kind() == ShardKind.WORK) {
@@ -218,6 +225,7 @@
     }
     HeldShard holding = new HeldShard(shard, row.row(), row.version());
     held.put(shard, holding);
+    claimsInDoubt.remove(shard);
     publishHeld();
     LOG.atInfo().log("ownership: holds %s at epoch %d", shard, row.row().epoch());
     listener.acquired(shard, row.row().epoch(), state);
@@ -247,8 +255,9 @@
     lose(holding);
   }
 
-  private static boolean isSettled(ClaimInDoubt claim, Versioned read) {
-    return read != null && read.version() > claim.version();
+  /** Returns whether another claim came first, so that this one can't take effect any more. */
+  private boolean isSuperseded(ClaimInDoubt claim, Versioned read) {
+    return read != null && read.version() > claim.version() && !self().equals(read.row().owner());
   }
 
   private void dropForeign(Map<ShardId, Versioned> rows) {
--- a/masticspread-state/src/main/java/org/masticspread/state/shard/WorkShardState.java
+++ b/masticspread-state/src/main/java/org/masticspread/state/shard/WorkShardState.java
@@ -349,7 +349,7 @@
    * @return the jobs in no order
    */
   public synchronized List<JobView> activeJobs() {
-    return jobs.values().stream().filter(job -> job.endedAt() == null).map(JobEntry::view).toList();
+    return jobs.values().stream().filter(JobEntry::isActive).map(JobEntry::view).toList();
   }
 
   /**
--- a/masticspread-state/src/test/java/org/masticspread/state/FaultTableTest.java
+++ b/masticspread-state/src/test/java/org/masticspread/state/FaultTableTest.java
@@ -186,6 +186,33 @@
     }
   }
 
+  @Nested
+  class ManyTakeovers {
+    @Test
+    void should_replay_all_sources_while_the_object_store_is_down() {
+      // GIVEN
+      TestCluster cluster = started();
+      cluster.objects().setDown(true);
+      // WHEN
+      for (int round = 0; round < 9; round++) {
+        work(cluster, round);
+        cluster.run(2);
+        cluster.start(List.of("vm-a", "vm-b", "vm-c").get(round % 3));
+        cluster.run(3);
+      }
+      // THEN
+      cluster.run(12);
+      assertThat(cluster.problems()).isEmpty();
+      // WHEN
+      cluster.settle();
+      // THEN
+      assertThat(cluster.problems()).isEmpty();
+      assertThat(cluster.table().keys("fence/")).hasSize(3);
+      assertThat(cluster.objects().names("snapshot/"))
+          .hasSameSizeAs(TestVm.MAP.workShards().toList());
+    }
+  }
+
   static Stream<Scenario> scenarios() {
     return Stream.of(Scenario.values());
   }
--- a/masticspread-state/src/test/java/org/masticspread/state/testing/FakeObjects.java
+++ b/masticspread-state/src/test/java/org/masticspread/state/testing/FakeObjects.java
@@ -29,6 +29,10 @@
     faults.clear();
   }
 
+  public synchronized List<String> names(String prefix) {
+    return objects.keySet().stream().filter(name -> name.startsWith(prefix)).toList();
+  }
+
   private boolean failsBefore() throws StoreException {
     Fault fault = down ? Fault.REFUSED : faults.isEmpty() ? Fault.NONE : faults.removeFirst();
     if (fault == Fault.REFUSED || fault == Fault.ERROR_BEFORE) {
@@ -59,7 +63,7 @@
   @Override
   public synchronized List<String> list(String prefix) throws StoreException {
     failIf(failsBefore());
-    return objects.keySet().stream().filter(name -> name.startsWith(prefix)).toList();
+    return names(prefix);
   }
 
   @Override
--- a/masticspread-state/src/test/java/org/masticspread/state/testing/FakeTable.java
+++ b/masticspread-state/src/test/java/org/masticspread/state/testing/FakeTable.java
@@ -197,7 +197,7 @@
   }
 
   private void noteFencedWrite(Mutation mutation) {
-    String[] parts = mutation.key().split("/");
+    String[] parts = mutation.key().split("/", 4);
     if (!parts[0].equals("journal") || mutation.value() == null) {
       return;
     }
--- a/masticspread-state/src/test/java/org/masticspread/state/testing/TestVm.java
+++ b/masticspread-state/src/test/java/org/masticspread/state/testing/TestVm.java
@@ -215,6 +215,21 @@
   public void acquired(ShardId shard, long epoch, WorkShardState state) {
     epochs.put(shard, epoch);
     cluster.acquired(shard, epoch, keeper.incarnation());
+    if (state != null) {
+      workAtOnce(shard, epoch);
+    }
+  }
+
+  /** Journals work for a shard before the tick that acquired it has ended, as a node may. */
+  private void workAtOnce(ShardId shard, long epoch) {
+    for (int i = 0; ; i++) {
+      JobSpec job = Samples.job("first-" + epoch + "-" + i, 1, true);
+      if (MAP.workShard(job.key()).equals(shard)) {
+        submit(job);
+        journal.flush();
+        return;
+      }
+    }
   }
 
   @Override
