--- a/masticspread-state/src/main/java/org/masticspread/state/format/StateKeys.java
+++ b/masticspread-state/src/main/java/org/masticspread/state/format/StateKeys.java
@@ -99,7 +99,17 @@
   }
 
   /**
-   * Returns the prefix of the snapshots of a shard.
+   * Returns the row of the snapshot of a shard.
+   *
+   * @param shard the shard
+   * @return the key
+   */
+  public static String tableSnapshot(ShardId shard) {
+    return "snapshot/" + shard;
+  }
+
+  /**
+   * Returns the prefix of the snapshots of a shard in the object store.
    *
    * @param shard the shard
    * @return the prefix
@@ -109,7 +119,7 @@
   }
 
   /**
-   * Returns the name of a snapshot.
+   * Returns the name of a snapshot in the object store.
    *
    * @param shard the shard
    * @param epoch the epoch of its owner
--- a/masticspread-state/src/main/java/org/masticspread/state/ownership/OwnershipSettings.java
+++ b/masticspread-state/src/main/java/org/masticspread/state/ownership/OwnershipSettings.java
@@ -8,10 +8,15 @@
  * @param retention how long shards remember
  * @param snapshotAfterRows the journal rows after which a shard gets a new snapshot
  * @param maxSnapshotsPerTick the most snapshots written in one tick
+ * @param maxTableSnapshotBytes the size up to which a snapshot goes to the table service, so that a
+ *     takeover does not need the object store
  */
 public record OwnershipSettings(
-    Retention retention, long snapshotAfterRows, int maxSnapshotsPerTick) {
-  /** A snapshot after 1,000 rows, at most 4 in a tick. */
+    Retention retention,
+    long snapshotAfterRows,
+    int maxSnapshotsPerTick,
+    int maxTableSnapshotBytes) {
+  /** A snapshot after 1,000 rows, at most 4 in a tick, up to 256 KiB in the table service. */
   public static final OwnershipSettings DEFAULT =
-      new OwnershipSettings(Retention.DEFAULT, 1_000, 4);
+      new OwnershipSettings(Retention.DEFAULT, 1_000, 4, 256 * 1024);
 }
--- a/masticspread-state/src/main/java/org/masticspread/state/ownership/ShardRecovery.java
+++ b/masticspread-state/src/main/java/org/masticspread/state/ownership/ShardRecovery.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import org.masticspread.model.id.ShardId;
 import org.masticspread.model.platform.ObjectStore;
+import org.masticspread.model.platform.Row;
 import org.masticspread.model.platform.StoreException;
 import org.masticspread.model.platform.TableService;
 import org.masticspread.model.work.Payload;
@@ -22,6 +23,7 @@
  * thread-safe.
  */
 public final class ShardRecovery {
+  private final TableService table;
   private final ObjectStore objects;
   private final Retention retention;
   private final JournalReader journals;
@@ -34,6 +36,7 @@
    * @param retention how long shards remember
    */
   public ShardRecovery(TableService table, ObjectStore objects, Retention retention) {
+    this.table = table;
     this.objects = objects;
     this.retention = retention;
     this.journals = new JournalReader(table);
@@ -59,16 +62,20 @@
     return state;
   }
 
-  private WorkShardState base(ShardId shard, String snapshot)
+  private WorkShardState base(ShardId shard, SnapshotRef snapshot)
       throws StoreException, RecordFormatException {
     if (snapshot == null) {
       return new WorkShardState(shard, retention);
     }
-    Optional<Payload> content = objects.get(snapshot);
+    String name = snapshot.name();
+    Optional<Payload> content =
+        snapshot.place() == SnapshotRef.Place.TABLE
+            ? table.read(name).map(Row::value)
+            : objects.get(name);
     if (content.isEmpty()) {
-      throw new RecordFormatException(snapshot, Problem.MISSING, "the shard row refers to it");
+      throw new RecordFormatException(name, Problem.MISSING, "the shard row refers to it");
     }
-    return WorkShardState.restore(snapshot, shard, content.get(), retention);
+    return WorkShardState.restore(name, shard, content.get(), retention);
   }
 
   private static void apply(WorkShardState state, Source source, JournalBatch batch) {
--- a/masticspread-state/src/main/java/org/masticspread/state/ownership/ShardRow.java
+++ b/masticspread-state/src/main/java/org/masticspread/state/ownership/ShardRow.java
@@ -9,10 +9,11 @@
  *
  * @param owner the incarnation that owns it; null when it is released
  * @param epoch the epoch, rising with each claim
- * @param snapshot the name of the snapshot that its state starts from; null for an empty state
+ * @param snapshot the snapshot that its state starts from; null for an empty state
  * @param sources the journals to apply after the snapshot, in their order
  */
-public record ShardRow(VmIncarnation owner, long epoch, String snapshot, List<Source> sources) {
+public record ShardRow(
+    VmIncarnation owner, long epoch, SnapshotRef snapshot, List<Source> sources) {
   /** The row of a shard that was never owned. */
   public static final ShardRow NEVER_OWNED = new ShardRow(null, 0, null, List.of());
 
@@ -47,12 +48,12 @@
   /**
    * Returns the row after a snapshot of its owner.
    *
-   * @param name the name of the snapshot
+   * @param ref the snapshot
    * @param fromSeq the first position of the owner's journal that is not in it
    * @return the row
    */
-  ShardRow withSnapshot(String name, long fromSeq) {
-    return new ShardRow(owner, epoch, name, List.of(new Source(owner, fromSeq, epoch)));
+  ShardRow withSnapshot(SnapshotRef ref, long fromSeq) {
+    return new ShardRow(owner, epoch, ref, List.of(new Source(owner, fromSeq, epoch)));
   }
 
   /**
--- a/masticspread-state/src/main/java/org/masticspread/state/ownership/ShardSnapshots.java
+++ b/masticspread-state/src/main/java/org/masticspread/state/ownership/ShardSnapshots.java
@@ -6,6 +6,8 @@
 import java.util.List;
 import java.util.Optional;
 import org.masticspread.model.id.ShardKind;
+import org.masticspread.model.platform.ConditionFailedException;
+import org.masticspread.model.platform.Mutation;
 import org.masticspread.model.platform.ObjectStore;
 import org.masticspread.model.platform.StoreException;
 import org.masticspread.model.result.MasticspreadException;
@@ -72,27 +74,55 @@
       return false;
     }
     Captured captured = journal.atBoundary(seq -> new Captured(seq, state.get().snapshot()));
-    String name = StateKeys.snapshot(held.shard(), held.row().epoch(), captured.seq());
-    ShardRow next = held.row().withSnapshot(name, captured.seq());
+    boolean small = captured.content().sizeBytes() <= settings.maxTableSnapshotBytes();
+    SnapshotRef ref = small ? inTable(held) : inObjects(held, captured.seq());
+    ShardRow next = held.row().withSnapshot(ref, captured.seq());
     if (next.equals(held.row())) {
       return true;
     }
     try {
-      objects.put(name, captured.content());
-      table.write(held.shard(), held.version(), next, held.row().owner());
+      write(held, next, captured.content());
     } catch (MasticspreadException e) {
       LOG.atWarning().log("ownership: snapshot of %s failed: %s", held.shard(), e.getMessage());
       return false;
     }
+    SnapshotRef before = held.row().snapshot();
     held.refresh(next, held.version() + 1);
-    deleteOlder(held, name);
+    if (before != null && before.place() == SnapshotRef.Place.OBJECTS) {
+      deleteOthers(held);
+    }
     return true;
   }
 
-  private void deleteOlder(HeldShard held, String current) {
+  private static SnapshotRef inTable(HeldShard held) {
+    return new SnapshotRef(SnapshotRef.Place.TABLE, StateKeys.tableSnapshot(held.shard()));
+  }
+
+  private static SnapshotRef inObjects(HeldShard held, long seq) {
+    String name = StateKeys.snapshot(held.shard(), held.row().epoch(), seq);
+    return new SnapshotRef(SnapshotRef.Place.OBJECTS, name);
+  }
+
+  private void write(HeldShard held, ShardRow next, Payload content)
+      throws StoreException, ConditionFailedException {
+    SnapshotRef ref = next.snapshot();
+    String tableKey = StateKeys.tableSnapshot(held.shard());
+    Mutation tableRow = Mutation.delete(tableKey);
+    if (ref.place() == SnapshotRef.Place.TABLE) {
+      tableRow = Mutation.put(tableKey, content);
+    } else {
+      objects.put(ref.name(), content);
+    }
+    table.write(held.shard(), held.version(), next, held.row().owner(), tableRow);
+  }
+
+  /** Deletes the objects of this shard up to the current position, but for the one in use. */
+  private void deleteOthers(HeldShard held) {
+    String current = held.row().snapshot().name();
+    String last = StateKeys.snapshot(held.shard(), held.row().epoch(), Long.MAX_VALUE);
     try {
       for (String name : objects.list(StateKeys.snapshots(held.shard()))) {
-        if (name.compareTo(current) < 0) {
+        if (name.compareTo(last) <= 0 && !name.equals(current)) {
           objects.delete(name);
         }
       }
--- a/masticspread-state/src/main/java/org/masticspread/state/ownership/ShardTable.java
+++ b/masticspread-state/src/main/java/org/masticspread/state/ownership/ShardTable.java
@@ -47,14 +47,16 @@
     return rows;
   }
 
-  /** Writes a row if it has a version and the writer's session is open. */
-  void write(ShardId shard, long version, ShardRow row, VmIncarnation writer)
+  /** Writes a row, and others with it, if it has a version and the writer's session is open. */
+  void write(ShardId shard, long version, ShardRow row, VmIncarnation writer, Mutation... others)
       throws StoreException, ConditionFailedException {
     String key = StateKeys.shard(shard);
     List<Condition> conditions = new ArrayList<>();
     conditions.add(new Condition(key, version));
     conditions.add(FenceRow.open(writer));
-    Mutation put = Mutation.put(key, Envelope.seal(RecordKind.SHARD, row));
-    table.commit(new Transaction(conditions, List.of(put)));
+    List<Mutation> mutations = new ArrayList<>();
+    mutations.add(Mutation.put(key, Envelope.seal(RecordKind.SHARD, row)));
+    mutations.addAll(List.of(others));
+    table.commit(new Transaction(conditions, mutations));
   }
 }
--- a/masticspread-state/src/test/java/org/masticspread/state/testing/TestCluster.java
+++ b/masticspread-state/src/test/java/org/masticspread/state/testing/TestCluster.java
@@ -16,11 +16,14 @@
 import org.masticspread.model.work.JobView;
 import org.masticspread.state.history.HistoryChecker;
 import org.masticspread.state.history.HistoryEvent;
+import org.masticspread.state.ownership.OwnershipSettings;
+import org.masticspread.state.shard.Retention;
 
 /** Several VMs over one store, stepped one after another on a virtual clock. */
 public final class TestCluster {
   private static final Duration INTERVAL = Duration.ofSeconds(1);
 
+  private final OwnershipSettings settings;
   private final VirtualClock clock = new VirtualClock();
   private final FakeTable table = new FakeTable(clock);
   private final FakeObjects objects = new FakeObjects();
@@ -33,6 +36,19 @@
   private int sends;
   private int nonces;
 
+  /** Creates a cluster whose snapshots go to both stores, by size. */
+  public TestCluster() {
+    this(1_500);
+  }
+
+  public TestCluster(int maxTableSnapshotBytes) {
+    settings = new OwnershipSettings(Retention.DEFAULT, 8, 2, maxTableSnapshotBytes);
+  }
+
+  OwnershipSettings settings() {
+    return settings;
+  }
+
   public TestVm start(String name) {
     VmId id = VmId.of(name);
     TestVm vm = new TestVm(this, id, "nonce-" + nonces++);
