--- a/masticspread-state/src/test/java/org/masticspread/state/FaultTableTest.java
+++ b/masticspread-state/src/test/java/org/masticspread/state/FaultTableTest.java
@@ -156,7 +156,7 @@
       TestCluster cluster = started();
       work(cluster, 0);
       cluster.run(2);
-      List<String> fences = cluster.table().keys("fence/");
+      final List<String> fences = cluster.table().keys("fence/");
       // WHEN
       cluster.table().setDown(true);
       cluster.objects().setDown(true);
--- a/masticspread-state/src/test/java/org/masticspread/state/testing/FakeObjects.java
+++ b/masticspread-state/src/test/java/org/masticspread/state/testing/FakeObjects.java
@@ -16,6 +16,7 @@
   private final Deque<Fault> faults = new ArrayDeque<>();
   private boolean down;
 
+  /** The next calls get these faults, one each. */
   public synchronized void failCalls(Fault... next) {
     faults.addAll(List.of(next));
   }
@@ -24,11 +25,13 @@
     this.down = down;
   }
 
+  /** Takes all faults away. */
   public synchronized void heal() {
     down = false;
     faults.clear();
   }
 
+  /** Returns the names under a prefix, whatever the faults. */
   public synchronized List<String> names(String prefix) {
     return objects.keySet().stream().filter(name -> name.startsWith(prefix)).toList();
   }
--- a/masticspread-state/src/test/java/org/masticspread/state/testing/FakeTable.java
+++ b/masticspread-state/src/test/java/org/masticspread/state/testing/FakeTable.java
@@ -41,6 +41,7 @@
   private long commits;
   private long scans;
 
+  /** Creates an empty table whose slow calls move the clock. */
   public FakeTable(VirtualClock clock) {
     this.clock = clock;
   }
@@ -55,11 +56,13 @@
     readFaults.computeIfAbsent(prefix, p -> new ArrayDeque<>()).addAll(List.of(faults));
   }
 
+  /** Refuses every call while down. */
   public synchronized void setDown(boolean down) {
     this.down = down;
     this.readsDown = down;
   }
 
+  /** Takes all faults away. */
   public synchronized void heal() {
     down = false;
     readsDown = false;
@@ -72,22 +75,27 @@
     return List.copyOf(fencedWrites);
   }
 
+  /** Returns the count of commits asked for. */
   public synchronized long commits() {
     return commits;
   }
 
+  /** Returns the count of scans asked for. */
   public synchronized long scans() {
     return scans;
   }
 
+  /** Returns the keys under a prefix, whatever the faults. */
   public synchronized List<String> keys(String prefix) {
     return rows.keySet().stream().filter(key -> key.startsWith(prefix)).toList();
   }
 
+  /** Changes the content of a row without a new version. */
   public synchronized void overwrite(String key, Payload value) {
     rows.put(key, new Row(key, rows.get(key).version(), value));
   }
 
+  /** Removes a row, as no program should. */
   public synchronized void remove(String key) {
     rows.remove(key);
   }
--- a/masticspread-state/src/test/java/org/masticspread/state/testing/Samples.java
+++ b/masticspread-state/src/test/java/org/masticspread/state/testing/Samples.java
@@ -23,10 +23,12 @@
 
   private Samples() {}
 
+  /** Returns the key of a job. */
   public static JobKey jobKey(String id) {
     return new JobKey(TEAM, JobId.of(id));
   }
 
+  /** Returns a batch job. */
   public static JobSpec job(String id, int tasks, boolean idempotent) {
     return new JobSpec(
         jobKey(id),
@@ -42,10 +44,12 @@
         Payload.ofText("run " + id));
   }
 
+  /** Returns the key of a request. */
   public static RequestKey requestKey(String id) {
     return new RequestKey(TEAM, RequestId.of(id));
   }
 
+  /** Returns a request that must run at most once. */
   public static RequestSpec request(String id, String body, Instant answerBy) {
     return new RequestSpec(
         requestKey(id),
@@ -56,6 +60,7 @@
         Payload.ofText(body));
   }
 
+  /** Returns a source of random numbers. */
   public static UniformRandomProvider random(long seed) {
     return RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
   }
--- a/masticspread-state/src/test/java/org/masticspread/state/testing/TestCluster.java
+++ b/masticspread-state/src/test/java/org/masticspread/state/testing/TestCluster.java
@@ -41,6 +41,7 @@
     this(1_500);
   }
 
+  /** Creates a cluster whose snapshots go to the table service up to a size. */
   public TestCluster(int maxTableSnapshotBytes) {
     settings = new OwnershipSettings(Retention.DEFAULT, 8, 2, maxTableSnapshotBytes);
   }
@@ -49,6 +50,7 @@
     return settings;
   }
 
+  /** Starts a VM, or a new life of one. */
   public TestVm start(String name) {
     VmId id = VmId.of(name);
     TestVm vm = new TestVm(this, id, "nonce-" + nonces++);
@@ -58,18 +60,22 @@
     return vm;
   }
 
+  /** Ends a VM at once. */
   public void kill(String name) {
     running.remove(VmId.of(name));
   }
 
+  /** Lets a VM take no steps until it is resumed. */
   public void pause(String name) {
     paused.add(VmId.of(name));
   }
 
+  /** Lets a paused VM take steps again. */
   public void resume(String name) {
     paused.remove(VmId.of(name));
   }
 
+  /** Marks a VM as leaving. */
   public void leave(String name) {
     leaving.add(VmId.of(name));
   }
@@ -102,14 +108,17 @@
     run(12);
   }
 
+  /** Returns a VM, or null when it does not run. */
   public TestVm vm(String name) {
     return running.get(VmId.of(name));
   }
 
+  /** Returns whether a VM runs and is not paused. */
   public boolean isRunning(String name) {
     return running.containsKey(VmId.of(name)) && !paused.contains(VmId.of(name));
   }
 
+  /** Returns the VMs that run or are paused. */
   public List<TestVm> vms() {
     return List.copyOf(running.values());
   }
@@ -170,6 +179,7 @@
     history.add(event);
   }
 
+  /** Returns what callers and endpoints saw. */
   public List<HistoryEvent> history() {
     return history;
   }
@@ -182,14 +192,17 @@
     return leaving;
   }
 
+  /** Returns the clock of all VMs. */
   public VirtualClock clock() {
     return clock;
   }
 
+  /** Returns the table service of all VMs. */
   public FakeTable table() {
     return table;
   }
 
+  /** Returns the object store of all VMs. */
   public FakeObjects objects() {
     return objects;
   }
--- a/masticspread-state/src/test/java/org/masticspread/state/testing/TestVm.java
+++ b/masticspread-state/src/test/java/org/masticspread/state/testing/TestVm.java
@@ -71,6 +71,7 @@
     this.watcher = new SessionWatcher(cluster.table(), timing, keeper, clock::nanos);
   }
 
+  /** Takes one round: heartbeat, sessions, shards, journal. */
   public void step() {
     try {
       open();
@@ -115,6 +116,7 @@
     return new MembershipView(List.of(), List.of(), List.of(), List.of());
   }
 
+  /** Flushes the journal. */
   public void flush() {
     if (journal != null) {
       journal.flush();
@@ -251,34 +253,42 @@
     failures.add(error);
   }
 
+  /** Returns the VM. */
   public VmId id() {
     return id;
   }
 
+  /** Returns the session. */
   public SessionKeeper keeper() {
     return keeper;
   }
 
+  /** Returns the watcher of sessions. */
   public SessionWatcher watcher() {
     return watcher;
   }
 
+  /** Returns the journal. */
   public Journal journal() {
     return journal;
   }
 
+  /** Returns the ownership of shards. */
   public ShardOwnership ownership() {
     return ownership;
   }
 
+  /** Returns the shards that this VM holds. */
   public Set<ShardId> held() {
     return ownership == null ? Set.of() : ownership.held().keySet();
   }
 
+  /** Returns the state of a shard held here. */
   public Optional<WorkShardState> state(ShardId shard) {
     return states.state(shard);
   }
 
+  /** Returns the errors of steps and recoveries. */
   public List<MasticspreadException> failures() {
     return failures;
   }
--- a/masticspread-state/src/test/java/org/masticspread/state/testing/VirtualClock.java
+++ b/masticspread-state/src/test/java/org/masticspread/state/testing/VirtualClock.java
@@ -9,10 +9,12 @@
   private static final Instant START = Instant.parse("2026-12-04T10:00:00Z");
   private long nanos;
 
+  /** Moves the clock on. */
   public synchronized void advance(Duration time) {
     nanos += time.toNanos();
   }
 
+  /** Returns monotonic nanoseconds. */
   public synchronized long nanos() {
     return nanos;
   }
