--- a/masticspread-state/src/test/java/org/masticspread/state/testing/FakeTable.java
+++ b/masticspread-state/src/test/java/org/masticspread/state/testing/FakeTable.java
@@ -7,6 +7,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.NavigableMap;
 import java.util.Optional;
 import java.util.TreeMap;
 import org.masticspread.model.platform.Condition;
@@ -40,6 +41,7 @@
   private long commits;
   private long scans;
 
+  /** Creates an empty table whose slow calls move the clock. */
   public FakeTable(VirtualClock clock) {
     this.clock = clock;
   }
@@ -54,11 +56,13 @@
     readFaults.computeIfAbsent(prefix, p -> new ArrayDeque<>()).addAll(List.of(faults));
   }
 
+  /** Refuses every call while down. */
   public synchronized void setDown(boolean down) {
     this.down = down;
     this.readsDown = down;
   }
 
+  /** Takes all faults away. */
   public synchronized void heal() {
     down = false;
     readsDown = false;
@@ -71,22 +75,27 @@
     return List.copyOf(fencedWrites);
   }
 
+  /** Returns the count of commits asked for. */
   public synchronized long commits() {
     return commits;
   }
 
+  /** Returns the count of scans asked for. */
   public synchronized long scans() {
     return scans;
   }
 
+  /** Returns the keys under a prefix, whatever the faults. */
   public synchronized List<String> keys(String prefix) {
     return rows.keySet().stream().filter(key -> key.startsWith(prefix)).toList();
   }
 
+  /** Changes the content of a row without a new version. */
   public synchronized void overwrite(String key, Payload value) {
     rows.put(key, new Row(key, rows.get(key).version(), value));
   }
 
+  /** Removes a row, as no program should. */
   public synchronized void remove(String key) {
     rows.remove(key);
   }
@@ -105,7 +114,7 @@
         .toList();
   }
 
-  private TreeMap<String, Row> visible(String key) throws StoreException {
+  private NavigableMap<String, Row> visible(String key) throws StoreException {
     deliverLate();
     Fault fault = readsDown ? Fault.REFUSED : next(readFaults, key);
     switch (fault) {
@@ -197,7 +206,7 @@
   }
 
   private void noteFencedWrite(Mutation mutation) {
-    String[] parts = mutation.key().split("/");
+    String[] parts = mutation.key().split("/", 4);
     if (!parts[0].equals("journal") || mutation.value() == null) {
       return;
     }
--- a/masticspread-state/src/test/java/org/masticspread/state/testing/TestVm.java
+++ b/masticspread-state/src/test/java/org/masticspread/state/testing/TestVm.java
@@ -24,7 +24,6 @@
 import org.masticspread.state.journal.Journal;
 import org.masticspread.state.journal.JournalSettings;
 import org.masticspread.state.ownership.OwnershipListener;
-import org.masticspread.state.ownership.OwnershipSettings;
 import org.masticspread.state.ownership.ShardMap;
 import org.masticspread.state.ownership.ShardOwnership;
 import org.masticspread.state.ownership.ShardStates;
@@ -36,14 +35,12 @@
 import org.masticspread.state.shard.JobBegin;
 import org.masticspread.state.shard.JournalRecord;
 import org.masticspread.state.shard.RequestBegin;
-import org.masticspread.state.shard.Retention;
 import org.masticspread.state.shard.WorkShardState;
 
 /** One VM of a test, stepped by the test, that writes what happens into a history. */
 public final class TestVm implements OwnershipListener {
   public static final ShardMap MAP = new ShardMap(4);
   static final RackId RACK = RackId.of("rack-1");
-  private static final OwnershipSettings SETTINGS = new OwnershipSettings(Retention.DEFAULT, 8, 2);
   private static final Duration HOLD = Duration.ofSeconds(4);
 
   private final TestCluster cluster;
@@ -74,6 +71,7 @@
     this.watcher = new SessionWatcher(cluster.table(), timing, keeper, clock::nanos);
   }
 
+  /** Takes one round: heartbeat, sessions, shards, journal. */
   public void step() {
     try {
       open();
@@ -104,13 +102,21 @@
             Samples.random(id.hashCode()));
     ownership =
         new ShardOwnership(
-            cluster.table(), cluster.objects(), keeper, journal, states, MAP, this, SETTINGS);
+            cluster.table(),
+            cluster.objects(),
+            keeper,
+            journal,
+            states,
+            MAP,
+            this,
+            cluster.settings());
   }
 
   private static MembershipView emptyMembership() {
     return new MembershipView(List.of(), List.of(), List.of(), List.of());
   }
 
+  /** Flushes the journal. */
   public void flush() {
     if (journal != null) {
       journal.flush();
@@ -215,6 +221,21 @@
   public void acquired(ShardId shard, long epoch, WorkShardState state) {
     epochs.put(shard, epoch);
     cluster.acquired(shard, epoch, keeper.incarnation());
+    if (state != null) {
+      workAtOnce(shard, epoch);
+    }
+  }
+
+  /** Journals work for a shard before the tick that acquired it has ended, as a node may. */
+  private void workAtOnce(ShardId shard, long epoch) {
+    for (int i = 0; ; i++) {
+      JobSpec job = Samples.job("first-" + epoch + "-" + i, 1, true);
+      if (MAP.workShard(job.key()).equals(shard)) {
+        submit(job);
+        journal.flush();
+        return;
+      }
+    }
   }
 
   @Override
@@ -232,34 +253,42 @@
     failures.add(error);
   }
 
+  /** Returns the VM. */
   public VmId id() {
     return id;
   }
 
+  /** Returns the session. */
   public SessionKeeper keeper() {
     return keeper;
   }
 
+  /** Returns the watcher of sessions. */
   public SessionWatcher watcher() {
     return watcher;
   }
 
+  /** Returns the journal. */
   public Journal journal() {
     return journal;
   }
 
+  /** Returns the ownership of shards. */
   public ShardOwnership ownership() {
     return ownership;
   }
 
+  /** Returns the shards that this VM holds. */
   public Set<ShardId> held() {
     return ownership == null ? Set.of() : ownership.held().keySet();
   }
 
+  /** Returns the state of a shard held here. */
   public Optional<WorkShardState> state(ShardId shard) {
     return states.state(shard);
   }
 
+  /** Returns the errors of steps and recoveries. */
   public List<MasticspreadException> failures() {
     return failures;
   }
