policy: kept slots for every urgent class whose backlog is within the burst

Change: only classes with a backlog over the burst lose them; kept slots sized for one miss in 10,000.

--- a/masticspread-policy/src/main/java/org/masticspread/policy/request/internal/FairQueue.java
+++ b/masticspread-policy/src/main/java/org/masticspread/policy/request/internal/FairQueue.java
@@ -4,7 +4,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.TreeSet;
-import java.util.function.BiPredicate;
+import java.util.function.Predicate;
 import org.masticspread.model.work.Urgency;
 
 /**
@@ -83,21 +83,25 @@
    * kept slots or all of them, unless it has unused floor and has waited for long.
    */
   Choice choose(long now, int freeSlots, int reservedSlots) {
+    long creditNanos = burstNanos / CREDIT_DIVISOR;
     boolean half = freeSlots > reservedSlots / 2;
     boolean open = freeSlots > reservedSlots;
+    Predicate<ClassQueue> isCalm = queue -> !queue.isOverFloor(now, burstNanos);
+    Predicate<ClassQueue> isOverdue =
+        queue -> queue.entries.first().queuedAt <= now - OVERDUE_NANOS;
     Choice choice =
-        open ? withinFloor(now, Urgency.URGENT) : credited(now, Urgency.URGENT, this::isCalm);
+        open ? withinFloor(now, Urgency.URGENT) : firstWhere(now, Urgency.URGENT, isCalm);
     if (choice == null) {
       choice =
           half
               ? withinFloor(now, Urgency.NORMAL)
-              : credited(now, Urgency.NORMAL, FairQueue::isOverdue);
+              : firstWhere(now - creditNanos, Urgency.NORMAL, isOverdue);
     }
     if (choice == null) {
       choice =
           open
               ? withinFloor(now, Urgency.DEFERRABLE)
-              : credited(now, Urgency.DEFERRABLE, FairQueue::isOverdue);
+              : firstWhere(now - creditNanos, Urgency.DEFERRABLE, isOverdue);
     }
     if (choice != null || !open) {
       return choice;
@@ -117,28 +121,19 @@
     return new Choice(queues.first(), Stage.CLASS_FLOOR);
   }
 
-  private Choice credited(long now, Urgency urgency, BiPredicate<ClassQueue, Long> condition) {
-    long creditNanos = burstNanos / CREDIT_DIVISOR;
+  private Choice firstWhere(long latestTag, Urgency urgency, Predicate<ClassQueue> condition) {
     int seen = 0;
     for (ClassQueue queue : floors.get(urgency.ordinal())) {
-      if (queue.floorTag > now - creditNanos || seen++ == CANDIDATES) {
+      if (queue.floorTag > latestTag || seen++ == CANDIDATES) {
         return null;
       }
-      if (condition.test(queue, now)) {
+      if (condition.test(queue)) {
         return new Choice(queue, Stage.CLASS_FLOOR);
       }
     }
     return null;
   }
 
-  private boolean isCalm(ClassQueue queue, long now) {
-    return !queue.isOverFloor(now, burstNanos);
-  }
-
-  private static boolean isOverdue(ClassQueue queue, long now) {
-    return queue.entries.first().queuedAt <= now - OVERDUE_NANOS;
-  }
-
   private Choice lifted(long now) {
     for (ClassQueue queue : lifts) {
       if (queue.liftAt > now) {
--- a/masticspread-policy/src/main/java/org/masticspread/policy/request/internal/Reserve.java
+++ b/masticspread-policy/src/main/java/org/masticspread/policy/request/internal/Reserve.java
@@ -9,7 +9,7 @@
 final class Reserve {
   private static final long WINDOW_NANOS = 500_000_000L;
   private static final double GAIN = 0.3;
-  private static final double MISSED_PART = 0.0005;
+  private static final double MISSED_PART = 0.0001;
   private static final int MOST_DIVISOR = 8;
 
   private long windowStart;
