policy: charge slot time as at the mean speed of the pool

Change: a charge is the slot time over the learned slowness of the endpoint, times the mean slowness.

--- a/masticspread-policy/src/main/java/org/masticspread/policy/request/internal/Attempts.java
+++ b/masticspread-policy/src/main/java/org/masticspread/policy/request/internal/Attempts.java
@@ -39,7 +39,8 @@
     ServiceTime service = entry.queue.serviceTime;
     long hedgeAt = now + (long) (service.upperNanos() * backend.slowness);
     double estimate = service.meanNanos() * backend.slowness;
-    Flight flight = new Flight(++number, entry, backend, choice, estimate, hedgeAt, hedge);
+    double charge = service.meanNanos() * router.meanSlowness();
+    Flight flight = new Flight(++number, entry, backend, choice, estimate, charge, hedgeAt, hedge);
     flights.put(flight.number, flight);
     router.started(backend);
     entry.inFlight++;
@@ -93,6 +94,11 @@
     return null;
   }
 
+  /** Returns the slot time of a call as it would be at the mean speed of the pool. */
+  double atMeanSpeed(Flight flight, long tookNanos) {
+    return tookNanos / flight.backend.slowness * router.meanSlowness();
+  }
+
   /** Ends a dispatch and frees or holds its slot; returns null when it is not in flight. */
   Flight end(long dispatch, EndpointOutcome outcome, long tookNanos, long now) {
     Flight flight = flights.remove(dispatch);
--- a/masticspread-policy/src/main/java/org/masticspread/policy/request/internal/Backend.java
+++ b/masticspread-policy/src/main/java/org/masticspread/policy/request/internal/Backend.java
@@ -53,6 +53,11 @@
     return inFlight == 0 && formerHeld == 0 && held == 0 && !ejected;
   }
 
+  /** Returns the requests it serves while a mean slot serves one. */
+  double speed() {
+    return limit() / slowness;
+  }
+
   /** Returns how long one more request is expected to take, relative to other endpoints. */
   double score() {
     return slowness * (1 + (inFlight + 1.0) / limit());
--- a/masticspread-policy/src/main/java/org/masticspread/policy/request/internal/Flight.java
+++ b/masticspread-policy/src/main/java/org/masticspread/policy/request/internal/Flight.java
@@ -8,7 +8,13 @@
   final Entry entry;
   final Backend backend;
   final Choice choice;
+
+  /** The expected slot time. */
   final double estimateNanos;
+
+  /** The expected slot time at the mean speed of the pool, as charged. */
+  final double chargedNanos;
+
   final long hedgeAt;
   final boolean hedge;
   boolean ended;
@@ -19,6 +25,7 @@
       Backend backend,
       Choice choice,
       double estimateNanos,
+      double chargedNanos,
       long hedgeAt,
       boolean hedge) {
     this.number = number;
@@ -26,6 +33,7 @@
     this.backend = backend;
     this.choice = choice;
     this.estimateNanos = estimateNanos;
+    this.chargedNanos = chargedNanos;
     this.hedgeAt = hedgeAt;
     this.hedge = hedge;
   }
--- a/masticspread-policy/src/main/java/org/masticspread/policy/request/internal/PoolScheduler.java
+++ b/masticspread-policy/src/main/java/org/masticspread/policy/request/internal/PoolScheduler.java
@@ -256,7 +256,7 @@
 
   private Dispatch dispatched(Flight flight, Instant now, long nanos) {
     TeamAccount team = flight.entry.queue.team;
-    fairQueue.change(team, () -> fairQueue.charge(flight.choice, nanos, flight.estimateNanos));
+    fairQueue.change(team, () -> fairQueue.charge(flight.choice, nanos, flight.chargedNanos));
     log.add(
         flight.entry.request.key(),
         now,
@@ -283,9 +283,9 @@
     }
     Entry entry = flight.entry;
     boolean notRun = isNotRun(outcome);
-    double cost = notRun ? 0 : took.toNanos();
+    double cost = notRun ? 0 : attempts.atMeanSpeed(flight, took.toNanos());
     fairQueue.change(
-        entry.queue.team, () -> fairQueue.correct(flight.choice, cost - flight.estimateNanos));
+        entry.queue.team, () -> fairQueue.correct(flight.choice, cost - flight.chargedNanos));
     entry.mayHaveRun |= !notRun;
     if (entry.concluded) {
       return new Completion.Dropped("another attempt has concluded");
--- a/masticspread-policy/src/main/java/org/masticspread/policy/request/internal/Router.java
+++ b/masticspread-policy/src/main/java/org/masticspread/policy/request/internal/Router.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.Set;
+import java.util.stream.Stream;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.masticspread.model.config.EndpointConfig;
 import org.masticspread.model.config.EndpointState;
@@ -39,6 +40,7 @@
       new PriorityQueue<>((a, b) -> Long.compare(a.at(), b.at()));
   private int freeSlots;
   private int takingSlots;
+  private double speedSum;
   private int ejected;
   private double meanFailed;
 
@@ -72,7 +74,17 @@
               || backend.config.state() != EndpointState.ACTIVE;
       update(backend, () -> backend.leaving = gone);
     }
-    takingSlots = backends.values().stream().filter(b -> !b.leaving).mapToInt(Backend::limit).sum();
+    takingSlots = taking().mapToInt(Backend::limit).sum();
+    speedSum = taking().mapToDouble(Backend::speed).sum();
+  }
+
+  private Stream<Backend> taking() {
+    return backends.values().stream().filter(backend -> !backend.leaving);
+  }
+
+  /** Returns the service time of a mean slot relative to that of the mean of a class. */
+  double meanSlowness() {
+    return speedSum <= 0 ? 1 : takingSlots / speedSum;
   }
 
   /** Returns the slots of all endpoints that take new work. */
@@ -81,8 +93,7 @@
   }
 
   int busySlots() {
-    return backends.values().stream()
-        .filter(b -> !b.leaving)
+    return taking()
         .mapToInt(b -> Math.min(b.limit(), b.inFlight + b.formerHeld + b.held))
         .sum();
   }
@@ -130,7 +141,7 @@
         () -> {
           backend.inFlight--;
           if (outcome == EndpointOutcome.ANSWERED) {
-            backend.learnSpeed(ratio);
+            learnSpeed(backend, ratio);
           }
         });
     if (outcome == EndpointOutcome.BUSY) {
@@ -143,6 +154,14 @@
     }
   }
 
+  private void learnSpeed(Backend backend, double ratio) {
+    double before = backend.speed();
+    backend.learnSpeed(ratio);
+    if (!backend.leaving) {
+      speedSum += backend.speed() - before;
+    }
+  }
+
   private void judge(Backend backend, boolean good, long now) {
     if (backend.probation && good) {
       endProbationWhenGood(backend);
