--- /dev/null
+++ b/masticspread-policy/src/main/java/org/masticspread/policy/jobs/JobQueue.java
@@ -0,0 +1,274 @@
+package org.masticspread.policy.jobs;
+
+import com.google.errorprone.annotations.CanIgnoreReturnValue;
+import com.google.errorprone.annotations.concurrent.GuardedBy;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.masticspread.model.config.Configuration;
+import org.masticspread.model.config.TeamConfig;
+import org.masticspread.model.id.JobKey;
+import org.masticspread.model.id.RackId;
+import org.masticspread.model.id.TaskKey;
+import org.masticspread.model.id.TeamId;
+import org.masticspread.model.peer.PlaceOutcome;
+import org.masticspread.model.peer.RackDigest;
+import org.masticspread.model.resource.ResourceVector;
+import org.masticspread.model.work.JobSpec;
+import org.masticspread.policy.estimate.Estimates;
+
+/**
+ * The tasks of one work shard that wait for a worker, and the choice of those that start next:
+ * teams below their floor first, then urgent work, then by weight; within a team by urgency and
+ * latest start. Thread-safe; all state is under the lock of the queue.
+ *
+ * <pre>{@code
+ * JobQueue queue = new JobQueue(estimates, clock, seed).configure(configuration);
+ * queue.add(spec, submittedAt, index, attempt);
+ * Picks picks = queue.pick(digests, limit);
+ * // ask the rack owners, then for each answer:
+ * queue.putBack(assignment, PlaceOutcome.NO_ROOM);
+ * }</pre>
+ */
+public final class JobQueue {
+  private static final Duration REFRESH_INTERVAL = Duration.ofSeconds(5);
+
+  private final Estimates estimates;
+  private final InstantSource clock;
+
+  @GuardedBy("this")
+  private final Map<JobKey, WaitingJob> jobs = new HashMap<>();
+
+  @GuardedBy("this")
+  private final Map<TeamId, TeamQueue> teams = new HashMap<>();
+
+  @GuardedBy("this")
+  private final RackChooser racks;
+
+  @GuardedBy("this")
+  private Instant refreshedAt = Instant.MIN;
+
+  @GuardedBy("this")
+  private long round;
+
+  @GuardedBy("this")
+  private long sequence;
+
+  /**
+   * Creates an empty queue.
+   *
+   * @param estimates sizes and run times
+   * @param clock tells the time
+   * @param seed the seed of the choice of racks; different for each VM
+   */
+  public JobQueue(Estimates estimates, InstantSource clock, long seed) {
+    this.estimates = estimates;
+    this.clock = clock;
+    this.racks = new RackChooser(seed);
+  }
+
+  /**
+   * Takes over teams, racks and workers.
+   *
+   * @param configuration the configuration
+   * @return this queue
+   */
+  @CanIgnoreReturnValue
+  public synchronized JobQueue configure(Configuration configuration) {
+    racks.configure(configuration);
+    for (TeamConfig team : configuration.teams()) {
+      teams.computeIfAbsent(team.name(), k -> new TeamQueue(team)).config = team;
+    }
+    refreshedAt = Instant.MIN;
+    return this;
+  }
+
+  /**
+   * Adds a task that waits. A later attempt replaces an earlier one.
+   *
+   * @param spec the job
+   * @param submittedAt when the job was submitted
+   * @param index the position of the task in the job, from 0
+   * @param attempt the number of the attempt, from 1
+   */
+  public synchronized void add(JobSpec spec, Instant submittedAt, int index, int attempt) {
+    WaitingJob job = jobs.get(spec.key());
+    if (job == null) {
+      job = new WaitingJob(spec, submittedAt, ++sequence);
+      jobs.put(spec.key(), job);
+    }
+    job.attempts.put(index, attempt);
+    job.givenOut.remove(index);
+    enqueue(job);
+  }
+
+  @GuardedBy("this")
+  private void enqueue(WaitingJob job) {
+    TeamQueue team = teams.get(job.spec.key().team());
+    if (team == null) {
+      job.reason = WaitReason.NO_POOL;
+      return;
+    }
+    if (!job.queued) {
+      estimate(job);
+      team.add(job);
+    }
+  }
+
+  @GuardedBy("this")
+  private void estimate(WaitingJob job) {
+    TeamQueue team = teams.get(job.spec.key().team());
+    ResourceVector limit = racks.largestWorker(team.config.pool());
+    job.estimate(estimates.size(job.spec, limit), estimates.runTime(job.spec));
+  }
+
+  /**
+   * Forgets a job, in constant time whatever waits.
+   *
+   * @param job the job
+   * @return whether it was known
+   */
+  @CanIgnoreReturnValue
+  public synchronized boolean cancel(JobKey job) {
+    WaitingJob known = jobs.remove(job);
+    if (known == null) {
+      return false;
+    }
+    known.cancelled = true;
+    return true;
+  }
+
+  /**
+   * Forgets a task, because it ended or was cancelled.
+   *
+   * @param task the task
+   */
+  public synchronized void remove(TaskKey task) {
+    WaitingJob job = jobs.get(task.job());
+    if (job == null) {
+      return;
+    }
+    job.attempts.remove(task.index());
+    job.givenOut.remove(task.index());
+    if (job.attempts.isEmpty() && job.givenOut.isEmpty()) {
+      cancel(task.job());
+    }
+  }
+
+  /**
+   * Gives out the tasks that start next. They are no longer waiting.
+   *
+   * @param digests the racks as last told by their owners
+   * @param limit the most starts to give out, counting a gang as one
+   * @return the tasks and gangs
+   */
+  public synchronized Picks pick(List<RackDigest> digests, int limit) {
+    Instant now = clock.instant();
+    round++;
+    racks.update(digests);
+    refresh(now);
+    PickRound turns = new PickRound(racks, teams.values(), now, round);
+    List<Assignment> tasks = new ArrayList<>();
+    List<GangStart> gangs = new ArrayList<>();
+    while (tasks.size() + gangs.size() < limit) {
+      PickRound.Choice choice = turns.next();
+      if (choice == null) {
+        break;
+      }
+      if (choice.job().isGang()) {
+        gangs.add(giveOutGang(choice.job()));
+      } else {
+        tasks.add(giveOut(choice.job(), choice.rack().rack()));
+      }
+    }
+    return new Picks(tasks, gangs);
+  }
+
+  @GuardedBy("this")
+  private void refresh(Instant now) {
+    if (now.isBefore(refreshedAt.plus(REFRESH_INTERVAL))) {
+      return;
+    }
+    refreshedAt = now;
+    teams.values().forEach(TeamQueue::drain);
+    for (WaitingJob job : jobs.values()) {
+      if (job.isWaiting()) {
+        enqueue(job);
+      }
+    }
+  }
+
+  private static Assignment giveOut(WaitingJob job, RackId rack) {
+    Map.Entry<Integer, Integer> first = job.attempts.pollFirstEntry();
+    job.givenOut.put(first.getKey(), rack);
+    return new Assignment(job.spec, first.getKey(), first.getValue(), job.size, rack);
+  }
+
+  private static GangStart giveOutGang(WaitingJob job) {
+    GangStart gang = new GangStart(job.spec, job.attempts, job.size);
+    job.attempts.clear();
+    return gang;
+  }
+
+  /**
+   * Takes in what became of a task that was given out. It waits again when it certainly did not
+   * start.
+   *
+   * @param assignment the task
+   * @param outcome what the rack owner told
+   */
+  public synchronized void putBack(Assignment assignment, PlaceOutcome outcome) {
+    WaitingJob job = jobs.get(assignment.job().key());
+    if (job == null || outcome == PlaceOutcome.STARTED || outcome == PlaceOutcome.UNKNOWN) {
+      return;
+    }
+    RackView view = racks.view(assignment.rack());
+    if (view != null && outcome == PlaceOutcome.NO_ROOM) {
+      view.refuse(job.spec.key().team(), assignment.size());
+    }
+    add(job.spec, job.submittedAt, assignment.index(), assignment.attempt());
+    job.reason = WaitReason.NO_ROOM;
+  }
+
+  /**
+   * Lets the tasks of a gang wait again.
+   *
+   * @param gang the gang
+   */
+  public synchronized void putBack(GangStart gang) {
+    WaitingJob job = jobs.get(gang.job().key());
+    if (job == null) {
+      return;
+    }
+    gang.attempts().forEach((index, attempt) -> add(job.spec, job.submittedAt, index, attempt));
+    job.reason = WaitReason.NO_ROOM;
+  }
+
+  /**
+   * Tells why a task waits.
+   *
+   * @param task the task
+   * @return the reason, or empty if the task is not known
+   */
+  public synchronized Optional<WaitReason> reason(TaskKey task) {
+    WaitingJob job = jobs.get(task.job());
+    if (job == null) {
+      return Optional.empty();
+    }
+    return Optional.of(job.attempts.containsKey(task.index()) ? job.reason : WaitReason.GIVEN_OUT);
+  }
+
+  /**
+   * Returns the number of tasks that wait.
+   *
+   * @return the number
+   */
+  public synchronized int waiting() {
+    return jobs.values().stream().mapToInt(j -> j.attempts.size()).sum();
+  }
+}
--- /dev/null
+++ b/masticspread-policy/src/main/java/org/masticspread/policy/jobs/Picks.java
@@ -0,0 +1,18 @@
+package org.masticspread.policy.jobs;
+
+import java.util.List;
+
+/**
+ * What a {@link JobQueue} gives out in one round.
+ *
+ * @param tasks tasks to place, each on its rack
+ * @param gangs gangs to plan
+ */
+public record Picks(List<Assignment> tasks, List<GangStart> gangs) {
+
+  /** Copies the lists. */
+  public Picks {
+    tasks = List.copyOf(tasks);
+    gangs = List.copyOf(gangs);
+  }
+}
--- /dev/null
+++ b/masticspread-policy/src/main/java/org/masticspread/policy/jobs/package-info.java
@@ -0,0 +1,2 @@
+/** Jobs that wait: shares, quotas, deadlines and the choice of a rack. */
+package org.masticspread.policy.jobs;
--- /dev/null
+++ b/masticspread-policy/src/main/java/org/masticspread/policy/placement/RoomOrder.java
@@ -0,0 +1,14 @@
+package org.masticspread.policy.placement;
+
+import org.masticspread.model.id.WorkerId;
+import org.masticspread.model.platform.TaskAttempt;
+import org.masticspread.model.platform.TaskOrder;
+
+/**
+ * An order to a worker that changes how much a running task holds.
+ *
+ * @param worker the worker
+ * @param task the running attempt
+ * @param order what to do with it
+ */
+public record RoomOrder(WorkerId worker, TaskAttempt task, TaskOrder order) {}
--- /dev/null
+++ b/masticspread-policy/src/main/java/org/masticspread/policy/placement/package-info.java
@@ -0,0 +1,2 @@
+/** Placement of tasks on the workers of a rack. */
+package org.masticspread.policy.placement;
