--- /dev/null
+++ b/masticspread-ctl/src/main/java/org/masticspread/ctl/measure/MeasureOptions.java
@@ -0,0 +1,40 @@
+package org.masticspread.ctl.measure;
+
+import java.io.PrintWriter;
+import picocli.CommandLine.Option;
+
+/** Options that every measure takes; a picocli mixin. */
+public final class MeasureOptions {
+  @Option(
+      names = "--seed",
+      required = true,
+      description = "seed of the run; the same seed gives the same rows")
+  private long seed;
+
+  @Option(names = "--json", description = "print one JSON object instead of a table")
+  private boolean json;
+
+  /**
+   * Returns the seed of the run.
+   *
+   * @return the seed
+   */
+  public long seed() {
+    return seed;
+  }
+
+  /**
+   * Prints a report in the form that was asked for.
+   *
+   * @param report the report
+   * @param out where to print
+   */
+  public void print(MeasureReport<?> report, PrintWriter out) {
+    if (json) {
+      out.println(report.toJson());
+    } else {
+      out.print(report.toText());
+    }
+    out.flush();
+  }
+}
--- /dev/null
+++ b/masticspread-ctl/src/main/java/org/masticspread/ctl/measure/package-info.java
@@ -0,0 +1,2 @@
+/** Commands that measure the decisions on a virtual clock, and the report they share. */
+package org.masticspread.ctl.measure;
