--- a/masticspread-policy/src/main/java/org/masticspread/policy/placement/RackLedger.java
+++ b/masticspread-policy/src/main/java/org/masticspread/policy/placement/RackLedger.java
@@ -34,6 +34,7 @@
 import org.masticspread.policy.placement.internal.GangHolds;
 import org.masticspread.policy.placement.internal.Observer;
 import org.masticspread.policy.placement.internal.Promises;
+import org.masticspread.policy.placement.internal.RecentFailures;
 import org.masticspread.policy.placement.internal.RoomPlanner;
 import org.masticspread.policy.placement.internal.WorkerSlot;
 
@@ -67,6 +68,9 @@
   @GuardedBy("this")
   private final Promises promises = new Promises();
 
+  @GuardedBy("this")
+  private final RecentFailures failures = new RecentFailures();
+
   @GuardedBy("this")
   private final Map<TeamId, PoolId> pools = new HashMap<>();
 
@@ -85,7 +89,7 @@
     this.clock = clock;
     this.strategy = strategy;
     this.planner = new RoomPlanner(restartable);
-    this.observer = new Observer(books, planner);
+    this.observer = new Observer(books, planner, failures);
   }
 
   /**
@@ -207,9 +211,9 @@
   }
 
   /**
-   * Chooses a worker for a task and books the task there. A repeat of a booked attempt gets the
-   * same worker; another attempt of a booked task gets none. A task of a gang goes only into room
-   * reserved for its gang.
+   * Chooses a worker for a task and books the task there; workers on which its job failed lately
+   * come last. A repeat of a booked attempt gets the same worker; another attempt of a booked task
+   * gets none. A task of a gang goes only into room reserved for its gang.
    *
    * @param task the task
    * @return the worker, or empty if there is no room
@@ -237,7 +241,12 @@
     if (promised != null) {
       return promised;
     }
-    return books.choose(task.size(), poolOf(task.task().job()), strategy, slot -> true);
+    PoolId pool = poolOf(task.task().job());
+    Set<WorkerId> failedOn = failures.of(task.task().job());
+    WorkerSlot slot = books.choose(task.size(), pool, strategy, s -> !failedOn.contains(s.name()));
+    return slot != null || failedOn.isEmpty()
+        ? slot
+        : books.choose(task.size(), pool, strategy, s -> true);
   }
 
   @GuardedBy("this")
--- a/masticspread-policy/src/main/java/org/masticspread/policy/placement/internal/Observer.java
+++ b/masticspread-policy/src/main/java/org/masticspread/policy/placement/internal/Observer.java
@@ -23,16 +23,19 @@
 
   private final Books books;
   private final RoomPlanner planner;
+  private final RecentFailures failures;
 
   /**
    * Creates an observer.
    *
    * @param books the books
    * @param planner tells which tasks may be stopped
+   * @param failures takes in where jobs fail
    */
-  public Observer(Books books, RoomPlanner planner) {
+  public Observer(Books books, RoomPlanner planner, RecentFailures failures) {
     this.books = books;
     this.planner = planner;
+    this.failures = failures;
   }
 
   /**
@@ -51,7 +54,7 @@
       TaskAttempt attempt = new TaskAttempt(task.task(), task.attempt());
       reported.add(attempt);
       if (task.phase() != WorkerTaskPhase.RUNNING) {
-        books.release(attempt);
+        end(task, slot);
         continue;
       }
       Booking booking = books.find(attempt);
@@ -66,6 +69,13 @@
     return new Observation(gone, orders);
   }
 
+  private void end(WorkerTask task, WorkerSlot slot) {
+    books.release(new TaskAttempt(task.task(), task.attempt()));
+    if (task.phase() == WorkerTaskPhase.FAILED) {
+      failures.add(task.task().job(), slot.name());
+    }
+  }
+
   private static boolean isGone(Booking booking, Mark mark) {
     if (booking.certain) {
       return booking.confirmedSequence <= mark.sequence();
--- a/masticspread-policy/src/main/java/org/masticspread/policy/placement/internal/RoomPlanner.java
+++ b/masticspread-policy/src/main/java/org/masticspread/policy/placement/internal/RoomPlanner.java
@@ -101,8 +101,14 @@
 
   private List<Victim> victims(ResourceVector size, WorkerSlot slot) {
     ResourceVector lack = lack(size, slot);
+    List<Victim> throttled = onlyCores(lack) ? cover(lack, slot, true) : null;
+    return throttled != null ? throttled : cover(lack, slot, false);
+  }
+
+  private List<Victim> cover(ResourceVector whole, WorkerSlot slot, boolean throttling) {
+    ResourceVector lack = whole;
     List<Victim> chosen = new ArrayList<>();
-    List<Victim> candidates = new ArrayList<>(candidates(slot, onlyCores(lack)));
+    List<Victim> candidates = candidates(slot, throttling);
     while (!lack.equals(ResourceVector.ZERO)) {
       ResourceVector missing = lack;
       Victim next =
@@ -113,11 +119,11 @@
       if (next == null || chosen.size() == MAX_VICTIMS) {
         return null;
       }
-      candidates.removeIf(v -> v.booking() == next.booking());
+      candidates.remove(next);
       chosen.add(next);
       lack = Vectors.minusOrZero(lack, next.frees());
     }
-    dropNeedless(chosen, lack(size, slot));
+    dropNeedless(chosen, whole);
     return chosen;
   }
 
@@ -172,10 +178,7 @@
       if (booking.urgency != Urgency.DEFERRABLE || booking.order != null || !booking.certain) {
         continue;
       }
-      if (throttling) {
-        victims.add(throttled(booking));
-      }
-      victims.add(evicted(booking));
+      victims.add(throttling ? throttled(booking) : evicted(booking));
     }
     return victims;
   }
--- /dev/null
+++ b/masticspread-policy/src/test/java/org/masticspread/policy/health/TroubleDetectorTest.java
@@ -0,0 +1,120 @@
+package org.masticspread.policy.health;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.masticspread.policy.placement.Samples.job;
+
+import java.time.Duration;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.masticspread.model.id.JobKey;
+import org.masticspread.model.id.WorkerId;
+import org.masticspread.policy.placement.Samples;
+
+class TroubleDetectorTest {
+  private static final Set<WorkerId> WORKERS =
+      IntStream.range(0, 20).mapToObj(TroubleDetectorTest::worker).collect(Collectors.toSet());
+
+  private final Samples.Clock clock = new Samples.Clock();
+  private final TroubleDetector detector = new TroubleDetector(clock);
+
+  private static WorkerId worker(int number) {
+    return WorkerId.of("w" + number);
+  }
+
+  private static JobKey jobOf(int number) {
+    return job("team", "job" + number);
+  }
+
+  @ParameterizedTest
+  @CsvSource({"1, 9, 0, false", "2, 1, 0, false", "3, 1, 0, true", "3, 1, 1, false"})
+  void should_park_jobs_that_fail_on_distinct_workers(
+      int workers, int failuresOnEach, int successes, boolean parked) {
+    // WHEN
+    for (int i = 0; i < workers * failuresOnEach; i++) {
+      if (i == 2 && successes > 0) {
+        detector.succeeded(jobOf(0), worker(9));
+      }
+      detector.failed(jobOf(0), worker(i % workers));
+    }
+    // THEN
+    assertThat(detector.parked(jobOf(0)).isPresent()).isEqualTo(parked);
+    assertThat(detector.aside(WORKERS)).isEmpty();
+  }
+
+  @ParameterizedTest
+  @CsvSource({"1, 9, false", "2, 1, false", "3, 1, true"})
+  void should_put_workers_aside_on_which_distinct_jobs_fail(
+      int jobs, int failuresOfEach, boolean aside) {
+    // WHEN
+    for (int i = 0; i < jobs * failuresOfEach; i++) {
+      detector.failed(jobOf(i % jobs), worker(0));
+    }
+    // THEN
+    assertThat(detector.aside(WORKERS).contains(worker(0))).isEqualTo(aside);
+    assertThat(detector.parked(jobOf(0))).isEmpty();
+  }
+
+  @Test
+  void should_not_blame_workers_for_jobs_that_fail_everywhere() {
+    // WHEN
+    for (int job = 0; job < 5; job++) {
+      for (int w = 0; w < 5; w++) {
+        detector.failed(jobOf(job), worker(w));
+      }
+    }
+    // THEN
+    assertThat(IntStream.range(0, 5)).allMatch(job -> detector.parked(jobOf(job)).isPresent());
+    assertThat(detector.aside(WORKERS)).isEmpty();
+  }
+
+  @Test
+  void should_not_blame_jobs_for_workers_that_fail_everything() {
+    // GIVEN
+    for (int w = 0; w < 2; w++) {
+      for (int job = 0; job < 3; job++) {
+        detector.failed(jobOf(10 + 3 * w + job), worker(w));
+      }
+    }
+    assertThat(detector.aside(WORKERS)).containsExactlyInAnyOrder(worker(0), worker(1));
+    // WHEN
+    detector.failed(jobOf(0), worker(0));
+    detector.failed(jobOf(0), worker(1));
+    detector.failed(jobOf(0), worker(2));
+    // THEN
+    assertThat(detector.parked(jobOf(0))).isEmpty();
+  }
+
+  @Test
+  void should_bound_the_workers_put_aside() {
+    // WHEN
+    for (int w = 0; w < 20; w++) {
+      for (int job = 0; job < 3; job++) {
+        detector.failed(jobOf(100 * w + job), worker(w));
+      }
+    }
+    // THEN
+    assertThat(detector.aside(WORKERS)).hasSize(2);
+  }
+
+  @ParameterizedTest
+  @CsvSource({"9, 0, true", "11, 0, false", "11, 1, true"})
+  void should_try_workers_again_after_a_while(int minutes, int failures, boolean aside) {
+    // GIVEN
+    for (int job = 0; job < 3; job++) {
+      detector.failed(jobOf(job), worker(0));
+    }
+    assertThat(detector.aside(WORKERS)).contains(worker(0));
+    // WHEN
+    clock.plus(Duration.ofMinutes(minutes));
+    detector.aside(WORKERS);
+    for (int i = 0; i < failures; i++) {
+      detector.failed(jobOf(50 + i), worker(0));
+    }
+    // THEN
+    assertThat(detector.aside(WORKERS).contains(worker(0))).isEqualTo(aside);
+  }
+}
