--- a/masticspread-policy/src/main/java/org/masticspread/policy/gang/GangPlanner.java
+++ b/masticspread-policy/src/main/java/org/masticspread/policy/gang/GangPlanner.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import org.masticspread.model.id.RackId;
 import org.masticspread.model.peer.RackDigest;
 import org.masticspread.model.resource.ResourceVector;
@@ -189,12 +190,12 @@
 
   private List<GangCommand> start() {
     phase = Phase.STARTED;
-    List<GangCommand> commands = new ArrayList<>();
-    commands.add(new GangCommand.Start(shares()));
-    touched.stream()
-        .filter(rack -> !held.containsKey(rack))
-        .sorted()
-        .forEach(rack -> commands.add(new GangCommand.Release(rack, attempt)));
+    List<GangCommand> commands = new ArrayList<>(List.of(new GangCommand.Start(shares())));
+    for (RackId rack : new TreeSet<>(touched)) {
+      if (!held.containsKey(rack)) {
+        commands.add(new GangCommand.Release(rack, attempt));
+      }
+    }
     return commands;
   }
 
@@ -214,12 +215,11 @@
   }
 
   private List<GangCommand> giveUp(Instant now) {
-    final List<GangCommand> commands = releaseAll();
     phase = Phase.IDLE;
     Duration backoff = times.minBackoff().multipliedBy(1L << Math.min(failures, 10));
     failures++;
     nextAt = now.plus(jitter(min(backoff, times.maxBackoff())));
-    return commands;
+    return releaseAll();
   }
 
   private List<GangCommand> releaseAll() {
