--- a/masticspread-ctl/src/main/java/org/masticspread/ctl/CtlCommandLine.java
+++ b/masticspread-ctl/src/main/java/org/masticspread/ctl/CtlCommandLine.java
@@ -13,7 +13,7 @@
 import org.masticspread.ctl.command.Times;
 import org.masticspread.ctl.command.UsageException;
 import org.masticspread.ctl.command.entity.EntityCommands;
-import org.masticspread.ctl.output.Output;
+import org.masticspread.ctl.output.AuditText;
 import org.masticspread.model.id.DataCentreId;
 import org.masticspread.model.id.JobId;
 import org.masticspread.model.id.PoolId;
@@ -167,7 +167,7 @@
     }
     context.err().println("masticctl: " + known.getMessage());
     if (known instanceof ConflictException conflict) {
-      conflict.first().ifPresent(f -> context.err().print(Output.yaml(f)));
+      conflict.first().ifPresent(f -> AuditText.print(context.err(), f));
     }
     return exitCode(known).number();
   }
--- a/masticspread-ctl/src/main/java/org/masticspread/ctl/client/ApiClient.java
+++ b/masticspread-ctl/src/main/java/org/masticspread/ctl/client/ApiClient.java
@@ -295,7 +295,8 @@
         return value;
       }
     } catch (IOException e) {
-      throw new ApiException(ResultCode.INTERNAL_ERROR, unreadable(reply), e);
+      String reason = unreadable(reply) + ": " + e.getMessage();
+      throw new ApiException(ResultCode.INTERNAL_ERROR, reason, e);
     }
     throw new ApiException(ResultCode.INTERNAL_ERROR, unreadable(reply));
   }
--- a/masticspread-ctl/src/main/java/org/masticspread/ctl/command/entity/ChangeCommand.java
+++ b/masticspread-ctl/src/main/java/org/masticspread/ctl/command/entity/ChangeCommand.java
@@ -12,7 +12,8 @@
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Mixin;
 
-@Command(description = "Change fields of an entry; fields without a flag stay.")
+/** Changes fields of an entry; fields without a flag stay. */
+@Command
 final class ChangeCommand<T> extends CtlCommand {
   private final EntityKind<T> kind;
   private final EntityFlags<T> fields;
--- a/masticspread-ctl/src/main/java/org/masticspread/ctl/command/entity/CreateCommand.java
+++ b/masticspread-ctl/src/main/java/org/masticspread/ctl/command/entity/CreateCommand.java
@@ -12,7 +12,8 @@
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Mixin;
 
-@Command(description = "Create an entry.")
+/** Creates an entry. */
+@Command
 final class CreateCommand<T> extends CtlCommand {
   private final EntityKind<T> kind;
   private final EntityFlags<T> fields;
--- a/masticspread-ctl/src/main/java/org/masticspread/ctl/command/entity/DrainCommand.java
+++ b/masticspread-ctl/src/main/java/org/masticspread/ctl/command/entity/DrainCommand.java
@@ -12,7 +12,8 @@
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Mixin;
 
-@Command(description = "Give it no new work; work in flight ends.")
+/** Gives an endpoint or worker no new work; work in flight ends. */
+@Command
 final class DrainCommand<T> extends CtlCommand {
   private final EntityKind<T> kind;
   private final BiFunction<T, EndpointState, T> withState;
--- a/masticspread-ctl/src/main/java/org/masticspread/ctl/command/entity/EntityCommands.java
+++ b/masticspread-ctl/src/main/java/org/masticspread/ctl/command/entity/EntityCommands.java
@@ -29,7 +29,11 @@
 
   private static CommandSpec teams(CtlContext context) {
     CommandSpec spec = commands(context, EntityKinds.TEAM, TeamFlags::new);
-    spec.addSubcommand("token", CommandSpec.forAnnotatedObject(new TeamTokenCommand(context)));
+    add(
+        spec,
+        "token",
+        "Print the bearer token of the team NAME; for operators.",
+        new TeamTokenCommand(context));
     return spec;
   }
 
@@ -37,33 +41,43 @@
       CtlContext context, EntityKind<T> kind, Supplier<EntityFlags<T>> flags) {
     EntityFlags<T> create = flags.get();
     CommandSpec spec = CommandSpec.create();
-    spec.usageMessage().description("Create, list, show, change and retire: " + kind.noun() + ".");
-    spec.addSubcommand("create", withFlags(new CreateCommand<>(context, kind, create), create));
-    spec.addSubcommand("list", CommandSpec.forAnnotatedObject(new ListCommand<>(context, kind)));
-    spec.addSubcommand("show", CommandSpec.forAnnotatedObject(new ShowCommand<>(context, kind)));
+    String noun = kind.noun();
+    spec.usageMessage().description("Create, list, show, change and retire each " + noun + ".");
+    add(spec, "create", "Create the " + noun + " NAME.", new CreateCommand<>(context, kind, create))
+        .addMixin("fields", CommandSpec.forAnnotatedObject(create));
+    add(spec, "list", "List each " + noun + ".", new ListCommand<>(context, kind));
+    add(spec, "show", "Show the " + noun + " NAME.", new ShowCommand<>(context, kind));
     EntityFlags<T> change = flags.get();
-    spec.addSubcommand("change", withFlags(new ChangeCommand<>(context, kind, change), change));
-    spec.addSubcommand(
-        "retire", CommandSpec.forAnnotatedObject(new RetireCommand<>(context, kind)));
+    String keep = "Change the " + noun + " NAME; fields without a flag stay.";
+    add(spec, "change", keep, new ChangeCommand<>(context, kind, change))
+        .addMixin("fields", CommandSpec.forAnnotatedObject(change));
+    String retire = "Take the " + noun + " NAME out of service; the name stays used.";
+    add(spec, "retire", retire, new RetireCommand<>(context, kind));
     return spec;
   }
 
-  private static CommandSpec withFlags(Object command, EntityFlags<?> flags) {
-    return CommandSpec.forAnnotatedObject(command)
-        .addMixin("fields", CommandSpec.forAnnotatedObject(flags));
+  private static CommandSpec add(
+      CommandSpec parent, String name, String description, Object command) {
+    CommandSpec spec = CommandSpec.forAnnotatedObject(command);
+    spec.usageMessage().description(description);
+    parent.addSubcommand(name, spec);
+    return spec;
   }
 
   private static CommandSpec drain(CtlContext context) {
     CommandSpec spec = CommandSpec.create();
     spec.usageMessage().description("Let an endpoint or worker end its work and take no more.");
-    spec.addSubcommand(
+    String lets = " NAME no new work; work in flight ends.";
+    add(
+        spec,
         "endpoint",
-        CommandSpec.forAnnotatedObject(
-            new DrainCommand<>(context, EntityKinds.ENDPOINT, EntityKinds::withState)));
-    spec.addSubcommand(
+        "Give the endpoint" + lets,
+        new DrainCommand<>(context, EntityKinds.ENDPOINT, EntityKinds::withState));
+    add(
+        spec,
         "worker",
-        CommandSpec.forAnnotatedObject(
-            new DrainCommand<>(context, EntityKinds.WORKER, EntityKinds::withState)));
+        "Give the worker" + lets,
+        new DrainCommand<>(context, EntityKinds.WORKER, EntityKinds::withState));
     return spec;
   }
 }
--- a/masticspread-ctl/src/main/java/org/masticspread/ctl/command/entity/ListCommand.java
+++ b/masticspread-ctl/src/main/java/org/masticspread/ctl/command/entity/ListCommand.java
@@ -12,7 +12,8 @@
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Mixin;
 
-@Command(description = "List the entries.")
+/** Lists the entries. */
+@Command
 final class ListCommand<T> extends CtlCommand {
   private final EntityKind<T> kind;
 
--- a/masticspread-ctl/src/main/java/org/masticspread/ctl/command/entity/RetireCommand.java
+++ b/masticspread-ctl/src/main/java/org/masticspread/ctl/command/entity/RetireCommand.java
@@ -10,7 +10,8 @@
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Mixin;
 
-@Command(description = "Take an entry out of service; its name stays used.")
+/** Takes an entry out of service; its name stays used. */
+@Command
 final class RetireCommand<T> extends CtlCommand {
   private final EntityKind<T> kind;
 
--- a/masticspread-ctl/src/main/java/org/masticspread/ctl/command/entity/ShowCommand.java
+++ b/masticspread-ctl/src/main/java/org/masticspread/ctl/command/entity/ShowCommand.java
@@ -11,7 +11,8 @@
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Mixin;
 
-@Command(description = "Show an entry.")
+/** Shows an entry. */
+@Command
 final class ShowCommand<T> extends CtlCommand {
   private final EntityKind<T> kind;
 
--- a/masticspread-ctl/src/main/java/org/masticspread/ctl/command/entity/TeamTokenCommand.java
+++ b/masticspread-ctl/src/main/java/org/masticspread/ctl/command/entity/TeamTokenCommand.java
@@ -12,7 +12,8 @@
 import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Parameters;
 
-@Command(description = "Print the bearer token of a team; for operators.")
+/** Prints the bearer token of a team. */
+@Command
 final class TeamTokenCommand extends CtlCommand {
   @Mixin private NodeFlags node;
   @Mixin private JsonFlag json;
--- a/masticspread-ctl/src/main/java/org/masticspread/ctl/command/watch/AuditCommand.java
+++ b/masticspread-ctl/src/main/java/org/masticspread/ctl/command/watch/AuditCommand.java
@@ -7,7 +7,7 @@
 import org.masticspread.ctl.command.Flags;
 import org.masticspread.ctl.command.JsonFlag;
 import org.masticspread.ctl.command.NodeFlags;
-import org.masticspread.ctl.output.Output;
+import org.masticspread.ctl.output.AuditText;
 import org.masticspread.model.result.MasticspreadException;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Mixin;
@@ -38,7 +38,8 @@
   protected ExitCode run() throws MasticspreadException {
     Flags.requireBetween("--limit", limit, 1, MAX_LIMIT);
     AuditTrail trail = node.client().audit(limit);
-    json.print(context(), trail, () -> context().out().print(Output.yaml(trail.entries())));
+    json.print(
+        context(), trail, () -> trail.entries().forEach(e -> AuditText.print(context().out(), e)));
     return ExitCode.OK;
   }
 }
--- a/masticspread-ctl/src/test/java/org/masticspread/ctl/CommandLineTest.java
+++ b/masticspread-ctl/src/test/java/org/masticspread/ctl/CommandLineTest.java
@@ -107,7 +107,8 @@
           "job submit --team t --work-class c --accelerators 1.5 | --accelerators | whole",
           "job submit --team t --work-class c --kind HEAP | --kind | GANG",
           "job submit --team t --work-class c --deadline soon | --deadline | soon",
-          "job submit --team t --work-class c --deadline 2020-01-01T00:00:00Z | --deadline | to come",
+          "job submit --team t --work-class c --deadline 2020-01-01T00:00:00Z"
+              + " | --deadline | to come",
           "job submit --team t --work-class c --idempotent maybe | --idempotent | maybe",
           "job submit --team t --work-class c --max-attempts 0 | --max-attempts | from 1 to 100",
           "job submit --team t --work-class c --run-time -1s | --run-time | 250ms",
@@ -133,7 +134,8 @@
           "team create t --pool p --floor NaN | --floor | from 0 to 1",
           "team create t --pool p --quota-memory 1GiB | --quota-millicores | missing",
           "work-class create t/c --idempotent true | --urgency | DEFERRABLE",
-          "work-class create c --urgency URGENT --idempotent true --answer-within 1s | TEAM/CLASS | two",
+          "work-class create c --urgency URGENT --idempotent true --answer-within 1s"
+              + " | TEAM/CLASS | two",
           "work-class create t/c --urgency URGENT --idempotent true | --answer-within | 1h",
           "endpoint create e --pool p --data-centre d | --address | host and port",
           "worker create w --pool p --rack r --data-centre d --address a:1 | --millicores | whole",
--- a/masticspread-ctl/src/test/java/org/masticspread/ctl/ConfigCommandsTest.java
+++ b/masticspread-ctl/src/test/java/org/masticspread/ctl/ConfigCommandsTest.java
@@ -163,7 +163,7 @@
       CtlRun run = CtlRun.at(node, line.replace("FILE", file.toString()));
       // THEN
       assertThat(run.exit()).isEqualTo(ExitCode.CONFLICT.number());
-      assertThat(run.err()).contains("anna").contains("drained rack 3").contains("revision: 2");
+      assertThat(run.err()).contains("anna").contains("drained rack 3").contains("revision 2 at");
       assertThat(node.configuration.revision()).isEqualTo(2);
       assertThat(ConfigComparison.changes(start, node.configuration)).isEmpty();
       assertThat(node.calls).filteredOn(c -> c.method().equals("PUT")).hasSize(1);
@@ -217,7 +217,7 @@
       assertThat(again.exit()).isZero();
       assertThat(again.out()).contains("no difference");
       assertThat(CtlRun.at(node, "config history").out()).contains("part.yaml applied");
-      assertThat(CtlRun.at(node, "audit").out()).contains("who: second");
+      assertThat(CtlRun.at(node, "audit").out()).contains("by second");
     }
 
     @Test
--- a/masticspread-ctl/src/test/java/org/masticspread/ctl/FakeNode.java
+++ b/masticspread-ctl/src/test/java/org/masticspread/ctl/FakeNode.java
@@ -79,7 +79,7 @@
     JsonNode tree = body.length == 0 ? null : Mappers.json().readTree(body);
     String token = exchange.getRequestHeaders().getFirst("Authorization");
     calls.add(new Call(exchange.getRequestMethod(), path, token, tree));
-    Reply reply = reply(exchange.getRequestMethod() + " " + path, body);
+    Reply reply = answer(exchange.getRequestMethod() + " " + path, body);
     if (reply != Reply.LOST) {
       exchange.sendResponseHeaders(reply.status(), reply.declaredLength());
       exchange.getResponseBody().write(reply.body());
@@ -87,7 +87,7 @@
     exchange.close();
   }
 
-  private Reply reply(String call, byte[] body) throws IOException {
+  private Reply answer(String call, byte[] body) throws IOException {
     Deque<Reply> told = replies.get(call);
     if (told != null) {
       return told.size() > 1 ? told.poll() : told.peek();
