--- /dev/null
+++ b/masticspread-wire/src/test/java/org/masticspread/wire/FrameProxy.java
@@ -0,0 +1,103 @@
+package org.masticspread.wire;
+
+import java.io.DataInputStream;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.ByteBuffer;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** Stands between a client and a server on loopback and changes the frames that pass. */
+final class FrameProxy implements AutoCloseable {
+  /** Changes what passes in one direction. */
+  interface Filter {
+    Filter PASS = (toServer, frame) -> List.of(frame);
+
+    /** Returns the bytes to send instead of a frame; null to close the connection. */
+    List<byte[]> apply(boolean toServer, byte[] frame);
+  }
+
+  private final ServerSocket listener;
+  private final InetSocketAddress target;
+  private final List<Socket> sockets = new CopyOnWriteArrayList<>();
+  private final AtomicInteger connections = new AtomicInteger();
+  private volatile Filter filter = Filter.PASS;
+  private volatile int firstUnfiltered;
+
+  FrameProxy(InetSocketAddress target) throws IOException {
+    this.target = target;
+    this.listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    start(this::accept);
+  }
+
+  InetSocketAddress address() {
+    return new InetSocketAddress(InetAddress.getLoopbackAddress(), listener.getLocalPort());
+  }
+
+  int connections() {
+    return connections.get();
+  }
+
+  /** Changes frames of the connections open now; later ones pass unchanged. */
+  void filter(Filter newFilter) {
+    filter = newFilter;
+    firstUnfiltered = connections.get();
+  }
+
+  @Override
+  public void close() throws IOException {
+    listener.close();
+    for (Socket socket : sockets) {
+      socket.close();
+    }
+  }
+
+  private void accept() {
+    while (!listener.isClosed()) {
+      try {
+        Socket client = listener.accept();
+        Socket server = new Socket(target.getAddress(), target.getPort());
+        sockets.addAll(List.of(client, server));
+        int number = connections.getAndIncrement();
+        start(() -> pump(client, server, true, number));
+        start(() -> pump(server, client, false, number));
+      } catch (IOException e) {
+        continue;
+      }
+    }
+  }
+
+  private void pump(Socket from, Socket to, boolean toServer, int number) {
+    try (from;
+        to) {
+      DataInputStream in = new DataInputStream(from.getInputStream());
+      OutputStream out = to.getOutputStream();
+      while (true) {
+        byte[] body = new byte[in.readInt()];
+        in.readFully(body);
+        byte[] frame = ByteBuffer.allocate(body.length + 4).putInt(body.length).put(body).array();
+        Filter current = number < firstUnfiltered ? filter : Filter.PASS;
+        List<byte[]> instead = current.apply(toServer, frame);
+        if (instead == null) {
+          return;
+        }
+        for (byte[] bytes : instead) {
+          out.write(bytes);
+        }
+      }
+    } catch (IOException e) {
+      return;
+    }
+  }
+
+  private static void start(Runnable task) {
+    Thread thread = new Thread(task, "frame-proxy");
+    thread.setDaemon(true);
+    thread.start();
+  }
+}
--- /dev/null
+++ b/masticspread-wire/src/test/java/org/masticspread/wire/PeerCallsTest.java
@@ -0,0 +1,185 @@
+package org.masticspread.wire;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.masticspread.wire.WireFixture.answer;
+import static org.masticspread.wire.WireFixture.error;
+import static org.masticspread.wire.WireFixture.until;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.masticspread.model.peer.FetchConfig;
+import org.masticspread.model.peer.GangReserved;
+import org.masticspread.model.peer.PeerException;
+import org.masticspread.model.peer.PeerHandler;
+import org.masticspread.model.peer.PeerMessage;
+import org.masticspread.model.peer.RequestAnswered;
+import org.masticspread.model.work.Answer;
+import org.masticspread.model.work.Payload;
+
+/** Bounds, errors and closing of calls. */
+class PeerCallsTest {
+  private final List<CompletableFuture<PeerMessage>> held = new CopyOnWriteArrayList<>();
+  private WireFixture wire;
+
+  private CompletionStage<PeerMessage> hold(PeerMessage message) {
+    CompletableFuture<PeerMessage> answer = new CompletableFuture<>();
+    held.add(answer);
+    return answer;
+  }
+
+  private void open(PeerHandler handler) throws Exception {
+    wire = WireFixture.of(handler);
+  }
+
+  @AfterEach
+  void close() throws Exception {
+    wire.close();
+  }
+
+  @Test
+  void should_refuse_calls_beyond_the_bound_with_nothing_sent() throws Exception {
+    // GIVEN
+    open((from, message) -> hold(message));
+    final List<CompletionStage<PeerMessage>> calls =
+        IntStream.range(0, 4).mapToObj(i -> wire.call(new FetchConfig(i))).toList();
+
+    // WHEN
+    PeerException error = error(wire.call(new FetchConfig(9)));
+    until(() -> held.size() == 4);
+    held.forEach(answer -> answer.complete(new GangReserved(1)));
+
+    // THEN
+    assertThat(error.mayHaveBeenSent()).isFalse();
+    for (CompletionStage<PeerMessage> call : calls) {
+      assertThat(answer(call)).isEqualTo(new GangReserved(1));
+    }
+  }
+
+  @Test
+  void should_refuse_a_message_that_is_too_large_or_has_no_number() throws Exception {
+    // GIVEN
+    open((from, message) -> hold(message));
+    PeerMessage large = new RequestAnswered(Answer.ok(null, new Payload(new byte[100_000])));
+
+    // WHEN / THEN
+    assertThat(error(wire.call(large)).mayHaveBeenSent()).isFalse();
+    assertThat(error(wire.call(new PeerMessage() {})).mayHaveBeenSent()).isFalse();
+    assertThat(held).isEmpty();
+  }
+
+  @Test
+  void should_call_a_failed_handler_unknown_and_keep_the_connection() throws Exception {
+    // GIVEN
+    open(
+        (from, message) -> {
+          if (((FetchConfig) message).newerThan() == 0) {
+            throw new IllegalStateException("planned");
+          }
+          long number = ((FetchConfig) message).newerThan();
+          return number == 1
+              ? CompletableFuture.failedStage(new IllegalStateException("planned"))
+              : CompletableFuture.completedStage(number == 2 ? null : new GangReserved(3));
+        });
+
+    // WHEN / THEN
+    for (int i = 0; i < 3; i++) {
+      assertThat(error(wire.call(new FetchConfig(i))).mayHaveBeenSent()).isTrue();
+    }
+    assertThat(answer(wire.call(new FetchConfig(3)))).isEqualTo(new GangReserved(3));
+    assertThat(wire.proxy.connections()).isEqualTo(1);
+  }
+
+  @Test
+  void should_complete_off_the_event_loops() throws Exception {
+    // GIVEN
+    open((from, message) -> CompletableFuture.completedStage(new GangReserved(1)));
+    AtomicReference<String> thread = new AtomicReference<>();
+
+    // WHEN
+    answer(
+        wire.call(new FetchConfig(1))
+            .thenApply(
+                answer -> {
+                  thread.set(Thread.currentThread().getName());
+                  return answer;
+                }));
+
+    // THEN
+    assertThat(thread.get()).doesNotStartWith("wire-loop");
+  }
+
+  @Test
+  void should_end_calls_in_flight_when_the_server_closes() throws Exception {
+    // GIVEN
+    open((from, message) -> hold(message));
+    final CompletionStage<PeerMessage> call = wire.call(new FetchConfig(1));
+    until(() -> held.size() == 1);
+
+    // WHEN
+    final CompletableFuture<Void> closed = CompletableFuture.runAsync(wire.server::close);
+    PeerException refused = error(eventuallyRefused());
+    held.get(0).complete(new GangReserved(7));
+
+    // THEN
+    assertThat(answer(call)).isEqualTo(new GangReserved(7));
+    assertThat(refused.mayHaveBeenSent()).isFalse();
+    closed.get();
+  }
+
+  /** Calls until the server has begun to close; calls before that are answered. */
+  private CompletionStage<PeerMessage> eventuallyRefused() {
+    AtomicReference<CompletionStage<PeerMessage>> latest = new AtomicReference<>();
+    until(
+        () -> {
+          int before = held.size();
+          CompletionStage<PeerMessage> call = wire.call(new FetchConfig(2));
+          latest.set(call);
+          until(() -> held.size() > before || call.toCompletableFuture().isDone());
+          held.stream().skip(before).forEach(answer -> answer.complete(new GangReserved(0)));
+          return call.toCompletableFuture().isCompletedExceptionally();
+        });
+    return latest.get();
+  }
+
+  @Test
+  void should_be_certain_when_nobody_listens_or_the_address_is_unknown() throws Exception {
+    // GIVEN
+    open((from, message) -> hold(message));
+    wire.proxy.close();
+    wire.server.close();
+    PeerClient lost = wire.clientPeers.connect(vm -> Optional.empty());
+
+    // WHEN / THEN
+    for (int i = 0; i < 5; i++) {
+      assertThat(error(wire.call(new FetchConfig(i))).mayHaveBeenSent()).isFalse();
+      assertThat(
+              error(lost.call(WireFixture.B, new FetchConfig(i), WireFixture.LONG))
+                  .mayHaveBeenSent())
+          .isFalse();
+    }
+  }
+
+  @Test
+  void should_finish_then_refuse_when_the_client_closes() throws Exception {
+    // GIVEN
+    open((from, message) -> hold(message));
+    final CompletionStage<PeerMessage> call = wire.call(new FetchConfig(1));
+    until(() -> held.size() == 1);
+
+    // WHEN
+    CompletableFuture<Void> closed = CompletableFuture.runAsync(wire.client::close);
+    held.get(0).complete(new GangReserved(7));
+    closed.get();
+
+    // THEN
+    assertThat(answer(call)).isEqualTo(new GangReserved(7));
+    assertThat(error(wire.call(new FetchConfig(2))).mayHaveBeenSent()).isFalse();
+  }
+}
--- /dev/null
+++ b/masticspread-wire/src/test/java/org/masticspread/wire/PeerFaultTest.java
@@ -0,0 +1,206 @@
+package org.masticspread.wire;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.masticspread.wire.WireFixture.answer;
+import static org.masticspread.wire.WireFixture.error;
+import static org.masticspread.wire.WireFixture.until;
+
+import io.reactivex.rxjava3.schedulers.TestScheduler;
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.masticspread.model.peer.FetchConfig;
+import org.masticspread.model.peer.GangReserved;
+import org.masticspread.model.peer.PeerException;
+import org.masticspread.model.peer.PeerMessage;
+import org.masticspread.wire.FrameProxy.Filter;
+
+/** Faults on the way between two VMs. */
+class PeerFaultTest {
+  private static final byte[] OVERSIZE = ByteBuffer.allocate(8).putInt(100_001).array();
+  private static final byte[] NEGATIVE = ByteBuffer.allocate(8).putInt(-5).array();
+  private static final byte[] GARBAGE = {0, 0, 0, 3, 1, 2, 3};
+
+  private static Filter to(boolean server, FilterOne one) {
+    return (toServer, frame) -> toServer == server ? one.apply(frame) : List.of(frame);
+  }
+
+  private static final Map<String, FilterOne> FILTERS =
+      Map.of(
+          "cut", frame -> null,
+          "oversize", frame -> List.of(OVERSIZE),
+          "negative", frame -> List.of(NEGATIVE),
+          "garbage", frame -> List.of(GARBAGE),
+          "duplicate", frame -> List.of(frame, frame));
+
+  private final AtomicInteger handled = new AtomicInteger();
+  private WireFixture wire;
+
+  /** Changes a frame. */
+  private interface FilterOne {
+    List<byte[]> apply(byte[] frame);
+  }
+
+  private WireFixture open() throws Exception {
+    wire = WireFixture.of((from, message) -> echo(message));
+    return wire;
+  }
+
+  private CompletionStage<PeerMessage> echo(PeerMessage message) {
+    handled.incrementAndGet();
+    return CompletableFuture.completedStage(
+        new GangReserved((int) ((FetchConfig) message).newerThan()));
+  }
+
+  @AfterEach
+  void close() throws Exception {
+    wire.close();
+  }
+
+  @ParameterizedTest
+  @CsvSource({
+    "cut, true, 0",
+    "cut, false, 1",
+    "oversize, true, 0",
+    "oversize, false, 1",
+    "negative, true, 0",
+    "garbage, true, 0",
+    "garbage, false, 1"
+  })
+  void should_call_a_lost_connection_unknown_and_replace_it(
+      String fault, boolean toServer, int runs) throws Exception {
+    // GIVEN
+    open();
+    answer(wire.call(new FetchConfig(1)));
+    wire.proxy.filter(to(toServer, FILTERS.get(fault)));
+
+    // WHEN
+    PeerException error = error(wire.call(new FetchConfig(2)));
+    PeerMessage next = answer(wire.call(new FetchConfig(3)));
+
+    // THEN
+    assertThat(error.mayHaveBeenSent()).isTrue();
+    assertThat(next).isEqualTo(new GangReserved(3));
+    assertThat(handled).hasValue(2 + runs);
+    assertThat(wire.proxy.connections()).isEqualTo(2);
+    assertThat(wire.count(wire.clientMetrics, "wire.reconnects")).isEqualTo(1);
+  }
+
+  @ParameterizedTest
+  @CsvSource({"true, 1, 0", "false, 0, 1"})
+  void should_run_a_doubled_call_once_and_drop_a_doubled_answer(
+      boolean toServer, long calls, long answers) throws Exception {
+    // GIVEN
+    open();
+    answer(wire.call(new FetchConfig(1)));
+    wire.proxy.filter(to(toServer, FILTERS.get("duplicate")));
+
+    // WHEN
+    PeerMessage second = answer(wire.call(new FetchConfig(2)));
+    until(
+        () ->
+            wire.count(wire.serverMetrics, "wire.dropped.calls") == calls
+                && wire.count(wire.clientMetrics, "wire.dropped.answers") == answers);
+
+    // THEN
+    assertThat(second).isEqualTo(new GangReserved(2));
+    assertThat(handled).hasValue(2);
+  }
+
+  @ParameterizedTest
+  @CsvSource({"true", "false"})
+  void should_pair_answers_when_frames_change_places(boolean toServer) throws Exception {
+    // GIVEN
+    open();
+    answer(wire.call(new FetchConfig(1)));
+    List<byte[]> held = new ArrayList<>();
+    wire.proxy.filter(
+        to(
+            toServer,
+            frame -> {
+              held.add(0, frame);
+              if (held.size() < 3) {
+                return List.of();
+              }
+              List<byte[]> all = List.copyOf(held);
+              held.clear();
+              return all;
+            }));
+
+    // WHEN
+    List<CompletionStage<PeerMessage>> calls =
+        IntStream.range(5, 8).mapToObj(i -> wire.call(new FetchConfig(i))).toList();
+
+    // THEN
+    for (int i = 0; i < 3; i++) {
+      assertThat(answer(calls.get(i))).isEqualTo(new GangReserved(5 + i));
+    }
+  }
+
+  @Test
+  void should_end_a_call_at_its_deadline_and_drop_the_late_answer() throws Exception {
+    // GIVEN
+    open();
+    answer(wire.call(new FetchConfig(1)));
+    List<byte[]> late = Collections.synchronizedList(new ArrayList<>());
+    wire.proxy.filter(
+        to(
+            false,
+            frame -> {
+              late.add(frame);
+              return late.size() == 2 ? List.copyOf(late) : List.of();
+            }));
+
+    // WHEN
+    PeerException error =
+        error(wire.client.call(WireFixture.B, new FetchConfig(2), Duration.ofMillis(50)));
+    PeerMessage next = answer(wire.call(new FetchConfig(3)));
+
+    // THEN
+    assertThat(error.mayHaveBeenSent()).isTrue();
+    assertThat(next).isEqualTo(new GangReserved(3));
+    assertThat(wire.count(wire.clientMetrics, "wire.dropped.answers")).isEqualTo(1);
+  }
+
+  @Test
+  void should_find_a_silent_connection_and_replace_it() throws Exception {
+    // GIVEN
+    TestScheduler time = new TestScheduler();
+    wire =
+        new WireFixture(
+            WireFixture.SETTINGS, WireFixture.KEY, time, (from, message) -> echo(message));
+    answer(wire.call(new FetchConfig(1)));
+    wire.proxy.filter((direction, frame) -> List.of());
+    CompletionStage<PeerMessage> lost =
+        wire.client.call(WireFixture.B, new FetchConfig(2), Duration.ofDays(1));
+
+    // WHEN
+    long beat = WireFixture.SETTINGS.heartbeat().toNanos();
+    for (int beats = 0; beats < 3; beats++) {
+      long sent = wire.count(wire.clientMetrics, "wire.frames.out");
+      time.advanceTimeBy(beat, TimeUnit.NANOSECONDS);
+      until(
+          () ->
+              wire.count(wire.clientMetrics, "wire.frames.out") > sent
+                  || wire.count(wire.clientMetrics, "wire.silent.connections") > 0);
+    }
+
+    // THEN
+    assertThat(error(lost).mayHaveBeenSent()).isTrue();
+    assertThat(wire.count(wire.clientMetrics, "wire.silent.connections")).isEqualTo(1);
+    until(() -> wire.proxy.connections() == 2);
+    assertThat(answer(wire.call(new FetchConfig(3)))).isEqualTo(new GangReserved(3));
+  }
+}
