--- a/masticspread-wire/src/main/java/org/masticspread/wire/internal/Target.java
+++ b/masticspread-wire/src/main/java/org/masticspread/wire/internal/Target.java
@@ -2,6 +2,7 @@
 
 import com.google.common.flogger.FluentLogger;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.EventLoopGroup;
 import java.net.InetSocketAddress;
@@ -150,19 +151,22 @@
 
   /** Starts to connect if a call waits for it, or to replace a lost connection. */
   private void attempt(boolean replacing) {
+    Optional<InetSocketAddress> found = address.get();
+    ChannelFuture connect = null;
     synchronized (lock) {
       boolean wanted = !waiting.isEmpty() || (replacing && !closed);
       if (attempting || link != null || !wanted) {
         return;
       }
       attempting = true;
+      if (found.isPresent()) {
+        connect = Connections.client(wire, loops, PeerHandshake::new).connect(found.get());
+      }
     }
-    Optional<InetSocketAddress> found = address.get();
-    if (found.isEmpty()) {
+    if (connect == null) {
       failed("its address is not known");
       return;
     }
-    var connect = Connections.client(wire, loops, PeerHandshake::new).connect(found.get());
     connect.addListener(
         done -> {
           if (!done.isSuccess()) {
@@ -185,14 +189,19 @@
 
   private void ready(Link fresh) {
     List<PendingCall> unsent;
+    boolean unwanted;
     synchronized (lock) {
       attempting = false;
       connecting = null;
       link = fresh;
       backoff.succeeded();
       unsent = drain();
+      unwanted = closed;
     }
     unsent.stream().filter(call -> !call.hasEnded()).forEach(fresh::send);
+    if (unwanted) {
+      fresh.leave();
+    }
   }
 
   private void leaving(Link old) {
