--- a/masticspread-ctl/src/main/java/org/masticspread/ctl/RootCommand.java
+++ b/masticspread-ctl/src/main/java/org/masticspread/ctl/RootCommand.java
@@ -9,6 +9,7 @@
 import org.masticspread.ctl.command.watch.TopCommand;
 import org.masticspread.ctl.command.work.JobCommand;
 import org.masticspread.ctl.command.work.RequestCommand;
+import org.masticspread.ctl.measure.MeasureCommand;
 import picocli.CommandLine.Command;
 
 /** The root of the command line; the commands on entries of the configuration are added to it. */
@@ -24,6 +25,7 @@
       AuditCommand.class,
       ConfigCommand.class,
       QuestionnaireCommand.class,
+      MeasureCommand.class,
       CompletionCommand.class
     })
 final class RootCommand {}
--- a/masticspread-ctl/src/main/java/org/masticspread/ctl/measure/MeasureCommand.java
+++ b/masticspread-ctl/src/main/java/org/masticspread/ctl/measure/MeasureCommand.java
@@ -1,5 +1,7 @@
 package org.masticspread.ctl.measure;
 
+import org.masticspread.ctl.measure.placement.DecisionsCommand;
+import org.masticspread.ctl.measure.placement.PackingCommand;
 import org.masticspread.ctl.measure.request.FloodCommand;
 import org.masticspread.ctl.measure.request.WaitCommand;
 import picocli.CommandLine.Command;
@@ -12,7 +14,12 @@
     name = "measure",
     mixinStandardHelpOptions = true,
     description = "Measures the decisions on a virtual clock, next to baselines in the same run.",
-    subcommands = {FloodCommand.class, WaitCommand.class})
+    subcommands = {
+      FloodCommand.class,
+      WaitCommand.class,
+      PackingCommand.class,
+      DecisionsCommand.class
+    })
 public final class MeasureCommand implements Runnable {
   @Spec private CommandSpec spec;
 
