--- a/masticspread-state/src/main/java/org/masticspread/state/ownership/JournalCollector.java
+++ b/masticspread-state/src/main/java/org/masticspread/state/ownership/JournalCollector.java
@@ -69,6 +69,11 @@
     quietRounds = quiet;
   }
 
+  /** Returns whether an ended incarnation waits to be deleted. */
+  boolean isBusy() {
+    return !quietRounds.isEmpty();
+  }
+
   private void step(VmIncarnation ended) {
     try {
       Optional<Row> fence = table.read(StateKeys.fence(ended));
--- a/masticspread-state/src/main/java/org/masticspread/state/ownership/ShardOwnership.java
+++ b/masticspread-state/src/main/java/org/masticspread/state/ownership/ShardOwnership.java
@@ -31,9 +31,10 @@
  * Claims, recovers, hands over and releases the shards of this VM.
  *
  * <p>Example: {@code ownership.tick(watcher.tick(), eligibleVms, racks)} after each heartbeat. A
- * tick costs one scan of the shard rows (one per 500 shards), whatever the count of VMs, and one
- * write per claim, release or snapshot; a takeover also costs one scan of each journal it replays.
- * Thread-safe; ticks run one after another and block on the stores.
+ * tick costs one scan of the shard rows (one per 500 shards) while VMs or racks change or something
+ * is to be done, and none in most other ticks; one write per claim, release or snapshot; a takeover
+ * also costs one scan of each journal that it replays. Thread-safe; ticks run one after another and
+ * block on the stores.
  */
 public final class ShardOwnership {
   private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
@@ -58,8 +59,10 @@
   private final ShardTable shardTable;
   private final ShardSnapshots snapshots;
   private final JournalCollector collector;
+  private final ScanSchedule schedule;
 
   private final Map<ShardId, HeldShard> held = new TreeMap<>();
+  private Map<ShardId, Versioned> rows = Map.of();
   private final Map<ShardId, ClaimInDoubt> claimsInDoubt = new HashMap<>();
   private volatile Map<ShardId, ShardOwner> owners = Map.of();
   private volatile Map<ShardId, Long> heldEpochs = Map.of();
@@ -96,10 +99,12 @@
     this.shardTable = new ShardTable(table);
     this.snapshots = new ShardSnapshots(shardTable, objects, journal, states, settings);
     this.collector = new JournalCollector(table);
+    this.schedule = new ScanSchedule(settings.maxTicksBetweenScans());
   }
 
   /**
-   * Reads the shard rows, then claims, recovers, hands over and snapshots what is due.
+   * Reads the shard rows if that is due, then claims, recovers, hands over and snapshots what is
+   * due.
    *
    * @param sessions the sessions, read before this call
    * @param eligible the VMs that may own shards
@@ -113,29 +118,59 @@
       loseAll();
       return;
     }
-    Map<ShardId, Versioned> rows = shardTable.scan();
-    owners = ownersOf(rows);
-    dropForeign(rows);
-    claimsInDoubt.entrySet().removeIf(c -> isSuperseded(c.getValue(), rows.get(c.getKey())));
+    if (schedule.isDue(sessions, eligible, new TreeSet<>(racks))) {
+      scan();
+      if (!session.isHeld()) {
+        return;
+      }
+      boolean settled = decideAll(sessions, eligible, wanted(racks));
+      collector.collect(sessions, rows.values(), eligible, self());
+      schedule.scanned(settled && !collector.isBusy());
+    }
     if (!session.isHeld()) {
       return;
     }
-    Set<ShardId> wanted = wanted(racks);
+    if (!snapshots.writeDue(held.values())) {
+      schedule.require();
+    }
+    trim();
+  }
+
+  private void scan() throws StoreException, RecordFormatException {
+    rows = shardTable.scan();
+    owners = ownersOf(rows);
+    dropForeign();
+    claimsInDoubt.entrySet().removeIf(c -> isSuperseded(c.getValue(), rows.get(c.getKey())));
+  }
+
+  /** Acts on each shard; returns whether there was nothing to do. */
+  private boolean decideAll(SessionView sessions, Set<VmId> eligible, Set<ShardId> wanted) {
     ShardRecovery recovery = new ShardRecovery(table, objects, settings.retention());
+    boolean settled = true;
     for (ShardId shard : wanted) {
       Versioned row = rows.getOrDefault(shard, Versioned.NEVER_OWNED);
       Optional<VmId> desired = map.owner(shard, eligible);
+      settled &= isSettled(shard, row.row(), desired, sessions);
       decide(shard, row, desired, sessions, recovery);
     }
     for (ShardId shard : List.copyOf(held.keySet())) {
       if (!wanted.contains(shard)) {
+        settled = false;
         handOver(held.get(shard));
       }
     }
-    publishHeld();
-    snapshots.writeDue(held.values());
-    trim(rows);
-    collector.collect(sessions, rows.values(), eligible, self());
+    return settled;
+  }
+
+  private boolean isSettled(
+      ShardId shard, ShardRow row, Optional<VmId> desired, SessionView sessions) {
+    VmIncarnation owner = row.owner();
+    if (owner == null || !desired.equals(Optional.of(owner.vm()))) {
+      return false;
+    }
+    boolean open = sessions.state(owner).equals(Optional.of(SessionState.OPEN));
+    HeldShard holding = held.get(shard);
+    return open && (!owner.equals(self()) || (holding != null && !holding.isReleasing()));
   }
 
   private VmIncarnation self() {
@@ -260,7 +295,7 @@
     return read != null && read.version() > claim.version() && !self().equals(read.row().owner());
   }
 
-  private void dropForeign(Map<ShardId, Versioned> rows) {
+  private void dropForeign() {
     for (HeldShard holding : List.copyOf(held.values())) {
       Versioned read = rows.get(holding.shard());
       if (read == null || read.version() < holding.version()) {
@@ -295,7 +330,7 @@
   }
 
   /** Deletes the journal rows before all sources: read, held, and claimed in doubt. */
-  private void trim(Map<ShardId, Versioned> rows) {
+  private void trim() {
     long below = journal.nextSeq();
     for (Versioned row : rows.values()) {
       below = Math.min(below, firstSource(row.row()));
--- a/masticspread-state/src/main/java/org/masticspread/state/ownership/ShardSnapshots.java
+++ b/masticspread-state/src/main/java/org/masticspread/state/ownership/ShardSnapshots.java
@@ -47,8 +47,8 @@
     this.settings = settings;
   }
 
-  /** Writes the snapshots that shorten a takeover most; stops at the first failure. */
-  void writeDue(Collection<HeldShard> held) {
+  /** Writes the snapshots that shorten a takeover most; returns false at the first failure. */
+  boolean writeDue(Collection<HeldShard> held) {
     long nextSeq = journal.nextSeq();
     long limit = settings.snapshotAfterRows();
     List<HeldShard> due =
@@ -62,9 +62,10 @@
             .toList();
     for (HeldShard shard : due) {
       if (!tryWrite(shard)) {
-        return;
+        return false;
       }
     }
+    return true;
   }
 
   /** Returns whether the shard row refers to a snapshot written now. */
--- a/masticspread-state/src/main/java/org/masticspread/state/session/SessionKeeper.java
+++ b/masticspread-state/src/main/java/org/masticspread/state/session/SessionKeeper.java
@@ -256,7 +256,7 @@
 
   private void extendHealth(long start) {
     HealthWindow before = health;
-    boolean unbroken = !healthBroken && start - before.until() <= 2 * timing.interval().toNanos();
+    boolean unbroken = !healthBroken && start - before.until() <= timing.ttl().toNanos() / 2;
     health = new HealthWindow(unbroken ? before.since() : start, start);
     healthBroken = false;
   }
--- a/masticspread-state/src/main/java/org/masticspread/state/session/SessionTiming.java
+++ b/masticspread-state/src/main/java/org/masticspread/state/session/SessionTiming.java
@@ -31,7 +31,8 @@
    *
    * @param liveVms the VMs that are live
    * @param writesPerSecond the writes per second for heartbeats of the whole fleet
-   * @return the interval, never shorter than {@link #interval}; it must stay below half of the TTL
+   * @return the interval, never shorter than {@link #interval}; it must not be longer than half of
+   *     the TTL
    */
   public Duration intervalFor(int liveVms, double writesPerSecond) {
     Duration budgeted = Duration.ofNanos((long) (liveVms / writesPerSecond * 1e9));
--- a/masticspread-state/src/test/java/org/masticspread/state/journal/JournalTest.java
+++ b/masticspread-state/src/test/java/org/masticspread/state/journal/JournalTest.java
@@ -5,9 +5,16 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
+import java.util.Queue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
@@ -227,6 +234,46 @@
     }
   }
 
+  @Nested
+  class ManyThreads {
+    @Test
+    void should_write_each_record_once_in_the_order_of_each_thread() throws Exception {
+      // GIVEN
+      int threads = 4;
+      int each = 250;
+      ExecutorService pool = Executors.newFixedThreadPool(threads);
+      List<Future<?>> writers = new ArrayList<>();
+      Queue<CompletableFuture<Void>> results = new ConcurrentLinkedQueue<>();
+      // WHEN
+      for (int t = 0; t < threads; t++) {
+        String prefix = "t" + t + "-";
+        writers.add(
+            pool.submit(
+                () -> {
+                  for (int i = 0; i < each; i++) {
+                    results.add(append(prefix + i));
+                    journal.flush();
+                  }
+                }));
+      }
+      for (Future<?> writer : writers) {
+        writer.get(30, TimeUnit.SECONDS);
+      }
+      pool.shutdown();
+      journal.flush();
+      // THEN
+      List<String> stored = stored();
+      assertThat(stored).hasSize(threads * each).doesNotHaveDuplicates();
+      assertThat(results).allMatch(r -> r.isDone() && !r.isCompletedExceptionally());
+      assertThat(applied).extracting(JournalTest::jobOf).isEqualTo(stored);
+      for (int t = 0; t < threads; t++) {
+        String prefix = "t" + t + "-";
+        assertThat(stored.stream().filter(s -> s.startsWith(prefix)))
+            .isSortedAccordingTo(Comparator.comparingInt(s -> Integer.parseInt(s.substring(3))));
+      }
+    }
+  }
+
   @Nested
   class HoldUntil {
     @Test
--- a/masticspread-state/src/test/java/org/masticspread/state/ownership/ShardMapTest.java
+++ b/masticspread-state/src/test/java/org/masticspread/state/ownership/ShardMapTest.java
@@ -78,6 +78,25 @@
     }
   }
 
+  @Nested
+  class Idle {
+    @Test
+    void should_read_the_shard_rows_in_few_ticks() {
+      // GIVEN
+      TestCluster cluster = new TestCluster();
+      cluster.start("vm-a");
+      cluster.start("vm-b");
+      cluster.run(20);
+      long scans = cluster.table().scans();
+      long commits = cluster.table().commits();
+      // WHEN
+      cluster.run(100);
+      // THEN
+      assertThat(cluster.table().scans() - scans).isLessThanOrEqualTo(2 * (100 + 10));
+      assertThat(cluster.table().commits() - commits).isEqualTo(2 * 100);
+    }
+  }
+
   @Nested
   class Rebalance {
     @Test
--- a/masticspread-state/src/test/java/org/masticspread/state/testing/TestCluster.java
+++ b/masticspread-state/src/test/java/org/masticspread/state/testing/TestCluster.java
@@ -43,7 +43,7 @@
 
   /** Creates a cluster whose snapshots go to the table service up to a size. */
   public TestCluster(int maxTableSnapshotBytes) {
-    settings = new OwnershipSettings(Retention.DEFAULT, 8, 2, maxTableSnapshotBytes);
+    settings = new OwnershipSettings(Retention.DEFAULT, 8, 2, maxTableSnapshotBytes, 10);
   }
 
   OwnershipSettings settings() {
