Let lifted work take its turns under a flood of its own team's urgent work

Cause: should_start_deferrable_work_before_its_latest_start (flood in the same team) started 0 of 60 tasks: looking whether a team has work reset the charges that share its turns between urgent and lifted work. Change: looking is apart from choosing; a job is lifted after half of its slack instead of three quarters. Figures: tasks started before their latest start, flood of the own team: 0 of 60 before, 60 of 60 after.

--- a/masticspread-policy/src/main/java/org/masticspread/policy/jobs/PickRound.java
+++ b/masticspread-policy/src/main/java/org/masticspread/policy/jobs/PickRound.java
@@ -37,7 +37,7 @@
     Map<TeamId, ResourceVector> usage = racks.usage();
     for (TeamQueue team : all) {
       team.used = usage.getOrDefault(team.config.name(), ResourceVector.ZERO);
-      if (team.next(now, round, false) == null) {
+      if (!team.hasWork(round)) {
         continue;
       }
       PoolId pool = team.config.pool();
--- a/masticspread-policy/src/main/java/org/masticspread/policy/jobs/TeamQueue.java
+++ b/masticspread-policy/src/main/java/org/masticspread/policy/jobs/TeamQueue.java
@@ -43,6 +43,10 @@
     }
   }
 
+  boolean hasWork(long round) {
+    return byUrgency.keySet().stream().anyMatch(urgency -> first(urgency, round) != null);
+  }
+
   /**
    * Returns the job that starts next, or null if none can in this round. Urgent and lifted work
    * share the team's turns evenly, so that neither holds up the other.
--- a/masticspread-policy/src/main/java/org/masticspread/policy/jobs/WaitingJob.java
+++ b/masticspread-policy/src/main/java/org/masticspread/policy/jobs/WaitingJob.java
@@ -20,7 +20,7 @@
           .thenComparing(j -> j.sequence);
 
   /** The part of its slack after which a job is lifted, in percent. */
-  private static final int LIFT_PERCENT = 75;
+  private static final int LIFT_PERCENT = 50;
 
   private static final Duration URGENT_PATIENCE = Duration.ofSeconds(3);
   private static final Duration NORMAL_PATIENCE = Duration.ofMinutes(5);
