masticctl: shared parts of commands, changes that change nothing, drained entries

Cause: flags stood twice, a repeat of a change made an empty revision, and a retired endpoint could be brought back by drain.

--- a/masticspread-ctl/src/main/java/org/masticspread/ctl/command/config/ConfigApplyCommand.java
+++ b/masticspread-ctl/src/main/java/org/masticspread/ctl/command/config/ConfigApplyCommand.java
@@ -62,6 +62,10 @@
       return ExitCode.INVALID;
     }
     List<Change> changes = ConfigComparison.changes(inForce, after);
+    if (changes.isEmpty()) {
+      return ConfigEditor.print(
+          context(), json, new ConfigEditor.Made(inForce.revision(), "nothing to change"));
+    }
     changes.forEach(c -> context().err().println(c));
     String sentence = what == null ? file.name() + " applied" : what;
     long revision = client.change(new ConfigChange(expected(content, inForce), sentence, after));
--- a/masticspread-ctl/src/main/java/org/masticspread/ctl/command/entity/ConfigEditor.java
+++ b/masticspread-ctl/src/main/java/org/masticspread/ctl/command/entity/ConfigEditor.java
@@ -38,7 +38,7 @@
   public record Made(long revision, String what) {}
 
   /**
-   * Makes a change.
+   * Makes a change; one that changes nothing is not sent.
    *
    * @param client calls the nodes
    * @param what the change in a short sentence
@@ -48,8 +48,11 @@
    */
   public static Made edit(ApiClient client, String what, Edit edit) throws MasticspreadException {
     Configuration before = client.configuration();
-    ConfigChange change = new ConfigChange(before.revision(), what, edit.apply(before));
-    return new Made(client.change(change), what);
+    Configuration after = edit.apply(before);
+    if (after.equals(before)) {
+      return new Made(before.revision(), "nothing to change");
+    }
+    return new Made(client.change(new ConfigChange(before.revision(), what, after)), what);
   }
 
   /**
--- a/masticspread-ctl/src/main/java/org/masticspread/ctl/command/entity/DrainCommand.java
+++ b/masticspread-ctl/src/main/java/org/masticspread/ctl/command/entity/DrainCommand.java
@@ -1,38 +1,29 @@
 package org.masticspread.ctl.command.entity;
 
-import java.util.function.BiFunction;
-import org.masticspread.ctl.command.CtlCommand;
 import org.masticspread.ctl.command.CtlContext;
 import org.masticspread.ctl.command.ExitCode;
-import org.masticspread.ctl.command.JsonFlag;
-import org.masticspread.ctl.command.NodeFlags;
 import org.masticspread.ctl.config.EntityKind;
-import org.masticspread.model.config.EndpointState;
 import org.masticspread.model.result.MasticspreadException;
 import picocli.CommandLine.Command;
-import picocli.CommandLine.Mixin;
 
 /** Gives an endpoint or worker no new work; work in flight ends. */
 @Command
-final class DrainCommand<T> extends CtlCommand {
-  private final EntityKind<T> kind;
-  private final BiFunction<T, EndpointState, T> withState;
+final class DrainCommand<T> extends EntityCommand<T> {
+  /** Returns an entry that takes no new work. */
+  @FunctionalInterface
+  interface Drain<T> {
+    T apply(T entry) throws MasticspreadException;
+  }
 
-  @Mixin private NodeFlags node;
-  @Mixin private JsonFlag json;
-  @Mixin private NameParameter name;
+  private final Drain<T> drain;
 
-  DrainCommand(CtlContext context, EntityKind<T> kind, BiFunction<T, EndpointState, T> withState) {
-    super(context);
-    this.kind = kind;
-    this.withState = withState;
+  DrainCommand(CtlContext context, EntityKind<T> kind, Drain<T> drain) {
+    super(context, kind);
+    this.drain = drain;
   }
 
   @Override
   protected ExitCode run() throws MasticspreadException {
-    String what = kind.noun() + " " + name.name() + " drained";
-    ConfigEditor.Edit edit =
-        c -> kind.put(c, withState.apply(name.find(kind, c), EndpointState.LEAVING));
-    return ConfigEditor.print(context(), json, ConfigEditor.edit(node.client(), what, edit));
+    return edit("drained", c -> kind().put(c, drain.apply(find(c))));
   }
 }
--- a/masticspread-ctl/src/main/java/org/masticspread/ctl/command/entity/EntityCommands.java
+++ b/masticspread-ctl/src/main/java/org/masticspread/ctl/command/entity/EntityCommands.java
@@ -72,12 +72,12 @@
         spec,
         "endpoint",
         "Give the endpoint" + lets,
-        new DrainCommand<>(context, EntityKinds.ENDPOINT, EntityKinds::withState));
+        new DrainCommand<>(context, EntityKinds.ENDPOINT, EntityKinds::drain));
     add(
         spec,
         "worker",
         "Give the worker" + lets,
-        new DrainCommand<>(context, EntityKinds.WORKER, EntityKinds::withState));
+        new DrainCommand<>(context, EntityKinds.WORKER, EntityKinds::drain));
     return spec;
   }
 }
--- a/masticspread-ctl/src/main/java/org/masticspread/ctl/command/work/JobSubmitCommand.java
+++ b/masticspread-ctl/src/main/java/org/masticspread/ctl/command/work/JobSubmitCommand.java
@@ -14,8 +14,6 @@
 import org.masticspread.ctl.command.NodeFlags;
 import org.masticspread.ctl.command.UsageException;
 import org.masticspread.model.id.JobId;
-import org.masticspread.model.id.TeamId;
-import org.masticspread.model.id.WorkClassId;
 import org.masticspread.model.resource.ResourceVector;
 import org.masticspread.model.result.MasticspreadException;
 import org.masticspread.model.work.JobKind;
@@ -28,25 +26,15 @@
 final class JobSubmitCommand extends CtlCommand {
   private static final int MAX_TASKS = 10_000;
   private static final int MAX_ATTEMPTS = 100;
-  private static final int MAX_RETRIES = 100;
   private static final int MAX_ACCELERATORS = 10_000;
   private static final long MAX_MILLICORES = 1_000_000_000;
   private static final Duration MAX_RUN_TIME = Duration.ofDays(366);
   private static final Duration MAX_ACCEPT_WITHIN = Duration.ofHours(1);
-  private static final Duration DEFAULT_RETRY_TIME = Duration.ofSeconds(10);
 
   @Mixin private NodeFlags node;
   @Mixin private JsonFlag json;
-
-  @Option(names = "--team", required = true, paramLabel = "TEAM", description = "The team's name.")
-  private TeamId team;
-
-  @Option(
-      names = "--work-class",
-      required = true,
-      paramLabel = "CLASS",
-      description = "The name of the work class within the team.")
-  private WorkClassId workClass;
+  @Mixin private ClassFlags names;
+  @Mixin private RetryFlags retries;
 
   @Option(
       names = "--job-id",
@@ -120,13 +108,6 @@
       description = "The time within which the job must be durably accepted, such as 5s.")
   private Duration acceptWithin;
 
-  @Option(
-      names = "--retries",
-      defaultValue = "3",
-      paramLabel = "N",
-      description = "The most repeats when the job was certainly not accepted; default 3.")
-  private int retries;
-
   @Parameters(arity = "0..1", paramLabel = "COMMAND", description = "What the workers run.")
   private String command;
 
@@ -138,9 +119,8 @@
   protected ExitCode run() throws MasticspreadException, InterruptedException {
     checkRanges();
     JobInput input = input();
-    Duration within = acceptWithin == null ? DEFAULT_RETRY_TIME : acceptWithin;
     ApiClient client = node.client();
-    Retrying retrying = new Retrying(context(), retries, within);
+    Retrying retrying = retries.policy(context(), acceptWithin);
     return ResultPrinter.print(context(), json, retrying.call(() -> client.submit(input)));
   }
 
@@ -151,7 +131,6 @@
     Flags.requireBetween("--run-time", runTime, Duration.ofMillis(1), MAX_RUN_TIME);
     Flags.requireBetween("--max-attempts", maxAttempts, 1, MAX_ATTEMPTS);
     Flags.requireBetween("--accept-within", acceptWithin, Duration.ofMillis(1), MAX_ACCEPT_WITHIN);
-    Flags.requireBetween("--retries", retries, 0, MAX_RETRIES);
     if (deadline != null && !deadline.isAfter(context().clock().instant())) {
       throw new UsageException("--deadline", deadline.toString(), "a time to come");
     }
@@ -159,9 +138,9 @@
 
   private JobInput input() {
     return new JobInput(
-        team,
+        names.team(),
         id == null ? JobId.of(UUID.randomUUID().toString()) : id,
-        workClass,
+        names.workClass(),
         kind,
         tasks,
         new ResourceVector(millicores, memory.bytes(), accelerators),
--- a/masticspread-ctl/src/main/java/org/masticspread/ctl/config/EntityKinds.java
+++ b/masticspread-ctl/src/main/java/org/masticspread/ctl/config/EntityKinds.java
@@ -78,25 +78,35 @@
   private EntityKinds() {}
 
   /**
-   * Returns an endpoint in another state.
+   * Returns an endpoint that takes no new work.
    *
    * @param e the endpoint
-   * @param state the state
-   * @return the endpoint
+   * @return the endpoint after the change
+   * @throws InvalidFieldException if it is retired
    */
-  public static EndpointConfig withState(EndpointConfig e, EndpointState state) {
-    return new EndpointConfig(
-        e.name(), e.pool(), e.dataCentre(), e.address(), e.slots(), e.connections(), state);
+  public static EndpointConfig drain(EndpointConfig e) throws InvalidFieldException {
+    requireNotRetired("endpoint", e.name().value(), e.state());
+    return withState(e, EndpointState.LEAVING);
   }
 
   /**
-   * Returns a worker in another state.
+   * Returns a worker that takes no new work.
    *
    * @param w the worker
-   * @param state the state
-   * @return the worker
+   * @return the worker after the change
+   * @throws InvalidFieldException if it is retired
    */
-  public static WorkerConfig withState(WorkerConfig w, EndpointState state) {
+  public static WorkerConfig drain(WorkerConfig w) throws InvalidFieldException {
+    requireNotRetired("worker", w.name().value(), w.state());
+    return withState(w, EndpointState.LEAVING);
+  }
+
+  private static EndpointConfig withState(EndpointConfig e, EndpointState state) {
+    return new EndpointConfig(
+        e.name(), e.pool(), e.dataCentre(), e.address(), e.slots(), e.connections(), state);
+  }
+
+  private static WorkerConfig withState(WorkerConfig w, EndpointState state) {
     return new WorkerConfig(
         w.name(), w.pool(), w.rack(), w.dataCentre(), w.address(), w.capacity(), state);
   }
@@ -154,4 +164,11 @@
           "LEAVING; first 'masticctl drain " + noun + " " + name + "'");
     }
   }
+
+  private static void requireNotRetired(String noun, String name, EndpointState state)
+      throws InvalidFieldException {
+    if (state == EndpointState.RETIRED) {
+      throw new InvalidFieldException(noun + " " + name, "RETIRED", "ACTIVE or LEAVING");
+    }
+  }
 }
--- a/masticspread-ctl/src/main/java/org/masticspread/ctl/questionnaire/AnswersFile.java
+++ b/masticspread-ctl/src/main/java/org/masticspread/ctl/questionnaire/AnswersFile.java
@@ -57,13 +57,13 @@
   }
 
   private void requireAsked(String path, JsonNode node) throws InvalidFieldException {
-    if (node.isArray()) {
+    if (node.isArray() && !node.isEmpty()) {
       for (int i = 0; i < node.size(); i++) {
         requireAsked(path + "[" + i + "]", node.get(i));
       }
       return;
     }
-    if (!node.isObject()) {
+    if (!node.isObject() || (node.isEmpty() && !path.isEmpty())) {
       if (!asked.contains(path)) {
         throw new InvalidFieldException(
             path, node.asText(), "only fields that the other answers call for");
--- a/masticspread-ctl/src/main/java/org/masticspread/ctl/questionnaire/ConflictCheck.java
+++ b/masticspread-ctl/src/main/java/org/masticspread/ctl/questionnaire/ConflictCheck.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import org.masticspread.ctl.command.MemorySize;
 import org.masticspread.ctl.questionnaire.Answers.Place;
 import org.masticspread.ctl.questionnaire.Answers.Work;
 import org.masticspread.model.config.Configuration;
@@ -44,11 +45,11 @@
         "pool",
         "there is no pool " + answers.pool() + "; create it first");
     require(
-        facts.pool().map(PoolConfig::retired).orElse(false) == false,
+        !facts.pool().map(PoolConfig::retired).orElse(false),
         "pool",
         "pool " + answers.pool() + " is retired");
     require(
-        cell.team(answers.team()).map(TeamConfig::retired).orElse(false) == false,
+        !cell.team(answers.team()).map(TeamConfig::retired).orElse(false),
         "team",
         "team " + answers.team() + " is retired; take another name");
     double kept = keptFloors(answers);
@@ -165,8 +166,8 @@
   private static String sizeText(ResourceVector one) {
     return one.millicores()
         + " millicores, "
-        + one.memoryBytes()
-        + " bytes and "
+        + new MemorySize(one.memoryBytes())
+        + " and "
         + one.accelerators()
         + " accelerators";
   }
--- a/masticspread-ctl/src/test/java/org/masticspread/ctl/ConfigCommandsTest.java
+++ b/masticspread-ctl/src/test/java/org/masticspread/ctl/ConfigCommandsTest.java
@@ -119,8 +119,12 @@
       CtlRun.at(node, "team retire workroom");
       CtlRun.at(node, "drain endpoint kitami-e01");
       CtlRun run = CtlRun.at(node, "endpoint retire kitami-e01");
+      CtlRun again = CtlRun.at(node, "endpoint retire kitami-e01");
+      CtlRun drain = CtlRun.at(node, "drain endpoint kitami-e01");
       // THEN
       assertThat(run.exit()).as(run.err()).isZero();
+      assertThat(again.out()).contains("revision 4: nothing to change");
+      assertThat(drain.err()).contains("'RETIRED' is not allowed");
       assertThat(node.configuration.endpoints().get(0).state()).isEqualTo(EndpointState.RETIRED);
       assertThat(node.configuration.workClasses())
           .allMatch(c -> c.retired() == c.team().value().equals("workroom"));
@@ -174,12 +178,13 @@
       // GIVEN
       Path file = directory.resolve("cell.yaml");
       Files.writeString(file, CtlRun.at(node, "config show").out());
-      node.apply(start, "anna", "second change");
+      CtlRun.at(node, "team change workroom --weight 3");
       // WHEN
       CtlRun run = CtlRun.at(node, "config apply " + file);
       // THEN
       assertThat(run.exit()).isEqualTo(ExitCode.CONFLICT.number());
-      assertThat(run.err()).contains("second change");
+      assertThat(run.err()).contains("team workroom changed");
+      assertThat(ConfigComparison.changes(start, node.configuration)).hasSize(1);
     }
 
     @Test
@@ -210,11 +215,13 @@
       CtlRun diff = CtlRun.at(node, "config diff --merge " + file);
       CtlRun apply = CtlRun.at(node, "config apply --merge " + file);
       CtlRun again = CtlRun.at(node, "config diff --merge " + file);
+      CtlRun twice = CtlRun.at(node, "config apply --merge " + file);
       // THEN
       assertThat(diff.exit()).isEqualTo(ExitCode.DIFFERENT.number());
       assertThat(diff.out()).startsWith("+ team extra").hasLineCount(1);
       assertThat(apply.exit()).as(apply.err()).isZero();
       assertThat(again.exit()).isZero();
+      assertThat(twice.out()).contains("revision 2: nothing to change");
       assertThat(again.out()).contains("no difference");
       assertThat(CtlRun.at(node, "config history").out()).contains("part.yaml applied");
       assertThat(CtlRun.at(node, "audit").out()).contains("by second");
--- a/masticspread-ctl/src/test/java/org/masticspread/ctl/questionnaire/QuestionnaireTest.java
+++ b/masticspread-ctl/src/test/java/org/masticspread/ctl/questionnaire/QuestionnaireTest.java
@@ -184,6 +184,7 @@
           "keepInFlood: 50% | keepInFlood: half | work[0].keepInFlood: 'half'",
           "largestBody: 64KiB | cores: 2 | work[0].largestBody: ''",
           "agreedPart: none | agreedPart: none\\nextra: 1 | extra: '1'",
+          "agreedPart: none | agreedPart: none\\nextra: {} | extra: ''",
           "takes: 100ms | takes: 100ms\\n    cores: 2 | work[0].cores: '2'",
         })
     void should_name_the_field_of_a_file(String line, String wrong, String message) {
@@ -258,7 +259,7 @@
           "R | agreedPart: none | agreedPart: 2% | agreedPart | needs 2.5%",
           "R | agreedPart: none | agreedPart: 61% | pool | the other teams leave 60%",
           "J | cores: 8 | cores: 33 | cores | fits no active worker",
-          "J | memory: 16GiB | memory: 129GiB | cores | fits no active worker",
+          "J | memory: 16GiB | memory: 129GiB | cores | 8000 millicores, 129GiB and 0",
           "J | accelerators: 0 | accelerators: 1 | cores | fits no active worker",
           "J | tasks: 4 | tasks: 121 | tasks | holds 120 of these tasks",
           "J | rate: 12/h | rate: 61/h | rate | 102%",
