--- a/masticspread-platform/src/main/java/org/masticspread/platform/http/PlatformServer.java
+++ b/masticspread-platform/src/main/java/org/masticspread/platform/http/PlatformServer.java
@@ -160,9 +160,15 @@
     return connections.size();
   }
 
+  /** Lets every connection that is open now go silent for good, while new ones work. */
+  public void silenceOpenConnections() {
+    connections.forEach(channel -> channel.attr(ServerHandler.SILENT).set(true));
+  }
+
   /** Closes the port and all connections; {@link #listen} may be called again. */
   public void stopListening() {
     listener.close().awaitUninterruptibly();
+    awaitNextSelect();
     connections.close().awaitUninterruptibly();
   }
 
@@ -175,6 +181,14 @@
     loops.shutdownGracefully(0, STOP_TIME.toMillis(), TimeUnit.MILLISECONDS).awaitUninterruptibly();
   }
 
+  /**
+   * Waits for the loop's next select, which is when the system really closes the port; until then
+   * it would still take connections in.
+   */
+  private void awaitNextSelect() {
+    listener.eventLoop().schedule(() -> {}, 1, TimeUnit.MILLISECONDS).awaitUninterruptibly();
+  }
+
   private ChannelInitializer<SocketChannel> initializer(ServerHandler handler) {
     return new ChannelInitializer<>() {
       @Override
--- a/masticspread-platform/src/main/java/org/masticspread/platform/http/ServerHandler.java
+++ b/masticspread-platform/src/main/java/org/masticspread/platform/http/ServerHandler.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.util.AttributeKey;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.Executor;
@@ -20,6 +21,9 @@
 final class ServerHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
+  /** Whether a connection takes calls in and answers none. */
+  static final AttributeKey<Boolean> SILENT = AttributeKey.valueOf("platform-silent");
+
   private final StandInRoutes routes;
   private final Faults faults;
   private final Executor executor;
@@ -33,6 +37,9 @@
 
   @Override
   protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
+    if (context.channel().hasAttr(SILENT)) {
+      return;
+    }
     String id = request.headers().get(Protocol.CALL_ID, "");
     byte[] body = ByteBufUtil.getBytes(request.content());
     ServerCall call = new ServerCall(context.channel(), request.uri(), id, body);
--- a/masticspread-wire/src/test/java/org/masticspread/wire/FrameProxy.java
+++ b/masticspread-wire/src/test/java/org/masticspread/wire/FrameProxy.java
@@ -49,6 +49,12 @@
     firstUnfiltered = connections.get();
   }
 
+  /** Changes frames of all connections, also of later ones. */
+  void filterAll(Filter newFilter) {
+    filter = newFilter;
+    firstUnfiltered = Integer.MAX_VALUE;
+  }
+
   @Override
   public void close() throws IOException {
     listener.close();
--- a/masticspread-wire/src/test/java/org/masticspread/wire/PeerCallsTest.java
+++ b/masticspread-wire/src/test/java/org/masticspread/wire/PeerCallsTest.java
@@ -5,11 +5,16 @@
 import static org.masticspread.wire.WireFixture.error;
 import static org.masticspread.wire.WireFixture.until;
 
+import io.reactivex.rxjava3.schedulers.Schedulers;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.AfterEach;
@@ -62,6 +67,71 @@
     }
   }
 
+  @Test
+  void should_refuse_calls_beyond_the_write_queue_with_nothing_sent() throws Exception {
+    // GIVEN
+    WireSettings d = WireFixture.SETTINGS;
+    WireSettings deep =
+        new WireSettings(
+            d.heartbeat(),
+            d.connectTimeout(),
+            d.mostFrameBytes(),
+            100_000,
+            d.mostQueuedBytes(),
+            d.firstBackoff(),
+            d.longestBackoff(),
+            d.closeTimeout());
+    AtomicInteger handled = new AtomicInteger();
+    wire =
+        new WireFixture(
+            deep,
+            WireFixture.KEY,
+            Schedulers.computation(),
+            (from, message) -> {
+              handled.incrementAndGet();
+              return CompletableFuture.completedStage(new GangReserved(1));
+            });
+    answer(wire.call(new FetchConfig(1)));
+    CountDownLatch blocked = new CountDownLatch(1);
+    wire.proxy.filter(
+        (toServer, frame) -> {
+          try {
+            blocked.await();
+          } catch (InterruptedException e) {
+            return null;
+          }
+          return List.of(frame);
+        });
+    PeerMessage large = new RequestAnswered(Answer.ok(null, new Payload(new byte[90_000])));
+
+    // WHEN
+    List<CompletionStage<PeerMessage>> calls = new ArrayList<>();
+    while (calls.isEmpty() || !calls.get(calls.size() - 1).toCompletableFuture().isDone()) {
+      calls.add(wire.call(large));
+    }
+    blocked.countDown();
+
+    // THEN
+    int refused = 0;
+    for (CompletionStage<PeerMessage> call : calls) {
+      boolean answered = outcome(call);
+      refused += answered ? 0 : 1;
+    }
+    assertThat(refused).isPositive();
+    assertThat(handled).hasValue(1 + calls.size() - refused);
+  }
+
+  /** Waits for a call; returns whether it was answered, and checks that it else was not sent. */
+  private static boolean outcome(CompletionStage<PeerMessage> call) throws Exception {
+    try {
+      answer(call);
+      return true;
+    } catch (ExecutionException e) {
+      assertThat(((PeerException) e.getCause()).mayHaveBeenSent()).isFalse();
+      return false;
+    }
+  }
+
   @Test
   void should_refuse_a_message_that_is_too_large_or_has_no_number() throws Exception {
     // GIVEN
--- a/masticspread-wire/src/test/java/org/masticspread/wire/PeerFaultTest.java
+++ b/masticspread-wire/src/test/java/org/masticspread/wire/PeerFaultTest.java
@@ -12,8 +12,11 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.Map;
+import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.IntStream;
@@ -21,6 +24,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.masticspread.model.peer.FetchConfig;
 import org.masticspread.model.peer.GangReserved;
 import org.masticspread.model.peer.PeerException;
@@ -203,4 +207,49 @@
     until(() -> wire.proxy.connections() == 2);
     assertThat(answer(wire.call(new FetchConfig(3)))).isEqualTo(new GangReserved(3));
   }
+
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4})
+  void should_run_each_call_at_most_once_and_no_call_that_was_not_sent(long seed) throws Exception {
+    // GIVEN
+    Map<Long, AtomicInteger> runs = new ConcurrentHashMap<>();
+    wire =
+        WireFixture.of(
+            (from, message) -> {
+              long number = ((FetchConfig) message).newerThan();
+              runs.computeIfAbsent(number, n -> new AtomicInteger()).incrementAndGet();
+              return echo(message);
+            });
+    SplittableRandom random = new SplittableRandom(seed);
+    List<FilterOne> faults =
+        FILTERS.entrySet().stream()
+            .sorted(Map.Entry.comparingByKey())
+            .map(Map.Entry::getValue)
+            .toList();
+    wire.proxy.filterAll(
+        (toServer, frame) -> {
+          int drawn;
+          synchronized (random) {
+            drawn = random.nextInt(60);
+          }
+          return drawn < faults.size() ? faults.get(drawn).apply(frame) : List.of(frame);
+        });
+
+    // WHEN / THEN
+    int answered = 0;
+    for (long number = 1; number <= 400; number++) {
+      int ran = 1;
+      try {
+        PeerMessage answer = answer(wire.call(new FetchConfig(number)));
+        assertThat(answer).isEqualTo(new GangReserved((int) number));
+        answered++;
+      } catch (ExecutionException e) {
+        ran = ((PeerException) e.getCause()).mayHaveBeenSent() ? -1 : 0;
+      }
+      int real = runs.getOrDefault(number, new AtomicInteger()).get();
+      assertThat(real).isBetween(Math.max(0, ran), Math.abs(ran));
+    }
+    assertThat(answered).isBetween(50, 399);
+    assertThat(runs.values()).allMatch(count -> count.get() == 1);
+  }
 }
