State: a found session is held from its first write

Cause: a session whose open answer was lost was held from when it was found, up to a TTL past what observers grant. Change: the start of the first attempt counts; a lost shard makes the next tick read the rows; the outage test sees every heartbeat first.

--- a/masticspread-state/src/main/java/org/masticspread/state/ownership/ShardOwnership.java
+++ b/masticspread-state/src/main/java/org/masticspread/state/ownership/ShardOwnership.java
@@ -318,6 +318,7 @@
   private void lose(HeldShard holding) {
     held.remove(holding.shard());
     states.drop(holding.shard());
+    schedule.require();
     publishHeld();
     LOG.atInfo().log("ownership: lost %s", holding.shard());
     listener.lost(holding.shard(), holding.row().epoch());
--- a/masticspread-state/src/main/java/org/masticspread/state/session/SessionKeeper.java
+++ b/masticspread-state/src/main/java/org/masticspread/state/session/SessionKeeper.java
@@ -3,7 +3,9 @@
 import com.google.common.flogger.FluentLogger;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.function.LongSupplier;
 import org.masticspread.model.id.DataCentreId;
@@ -47,6 +49,7 @@
   private final LongSupplier nanos;
 
   private final Deque<Sent> sent = new ArrayDeque<>();
+  private final Map<Long, Long> openAttempts = new HashMap<>();
   private SessionRow row;
   private long version;
   private boolean versionKnown;
@@ -110,10 +113,11 @@
     String counterKey = StateKeys.incarnation(vm);
     Optional<Row> counter = table.read(counterKey);
     long last = counter.isEmpty() ? 0 : lastNumber(counter.get());
-    long start = nanos.getAsLong();
-    if (last > 0 && adoptOpened(new VmIncarnation(vm, last), start)) {
+    if (adoptOpened(new VmIncarnation(vm, last))) {
       return true;
     }
+    long start = nanos.getAsLong();
+    openAttempts.putIfAbsent(last + 1, start);
     VmIncarnation next = new VmIncarnation(vm, last + 1);
     SessionRow opened = rowOf(next);
     Transaction transaction =
@@ -138,7 +142,7 @@
       }
       return false;
     }
-    becomeOpen(opened, 1, start);
+    becomeOpen(opened, 1, openAttempts.get(next.number()));
     return true;
   }
 
@@ -147,8 +151,11 @@
         .last();
   }
 
-  private boolean adoptOpened(VmIncarnation last, long start)
-      throws StoreException, RecordFormatException {
+  private boolean adoptOpened(VmIncarnation last) throws StoreException, RecordFormatException {
+    Long start = openAttempts.get(last.number());
+    if (start == null) {
+      return false;
+    }
     Optional<Row> found = table.read(StateKeys.session(last));
     if (found.isEmpty()) {
       return false;
--- a/masticspread-state/src/test/java/org/masticspread/state/FaultTableTest.java
+++ b/masticspread-state/src/test/java/org/masticspread/state/FaultTableTest.java
@@ -158,6 +158,7 @@
       cluster.run(2);
       final List<String> fences = cluster.table().keys("fence/");
       // WHEN
+      cluster.vms().forEach(TestVm::watch);
       cluster.table().setDown(true);
       cluster.objects().setDown(true);
       work(cluster, 1);
--- a/masticspread-state/src/test/java/org/masticspread/state/session/SessionTest.java
+++ b/masticspread-state/src/test/java/org/masticspread/state/session/SessionTest.java
@@ -66,6 +66,22 @@
       assertThat(keeper.open().number()).isEqualTo(1);
     }
 
+    @Test
+    void should_hold_a_found_session_from_when_it_was_first_written() throws Exception {
+      // GIVEN
+      SessionKeeper keeper = keeper(A, "n1");
+      table.failCommits("incarnation/", Fault.ERROR_AFTER);
+      table.failReads("incarnation/", Fault.NONE, Fault.REFUSED);
+      assertThatThrownBy(keeper::open).isInstanceOf(StoreException.class);
+      // WHEN
+      clock.advance(SessionTiming.DEFAULT.ttl());
+      keeper.open();
+      // THEN
+      assertThat(keeper.isHeld()).isFalse();
+      assertThat(keeper.heartbeat()).isTrue();
+      assertThat(keeper.isHeld()).isTrue();
+    }
+
     @Test
     void should_never_use_a_number_twice() throws Exception {
       // GIVEN
--- a/masticspread-state/src/test/java/org/masticspread/state/testing/TestVm.java
+++ b/masticspread-state/src/test/java/org/masticspread/state/testing/TestVm.java
@@ -116,6 +116,15 @@
     return new MembershipView(List.of(), List.of(), List.of(), List.of());
   }
 
+  /** Reads the sessions without a heartbeat. */
+  public void watch() {
+    try {
+      view = watcher.tick();
+    } catch (MasticspreadException e) {
+      failures.add(e);
+    }
+  }
+
   /** Flushes the journal. */
   public void flush() {
     if (journal != null) {
