--- a/masticspread-state/src/test/java/org/masticspread/state/history/HistoryCheckerTest.java
+++ b/masticspread-state/src/test/java/org/masticspread/state/history/HistoryCheckerTest.java
@@ -1,7 +1,9 @@
 package org.masticspread.state.history;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import java.io.StringReader;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
@@ -10,7 +12,6 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
-import org.masticspread.codec.Mappers;
 import org.masticspread.model.id.JobKey;
 import org.masticspread.model.id.RequestKey;
 import org.masticspread.model.id.TaskKey;
@@ -155,11 +156,18 @@
   }
 
   @Test
-  void should_round_trip_events_as_json() throws Exception {
-    // GIVEN // WHEN // THEN
-    for (HistoryEvent event : good()) {
-      String json = Mappers.json().writeValueAsString(event);
-      assertThat(Mappers.json().readValue(json, HistoryEvent.class)).isEqualTo(event);
-    }
+  void should_write_and_read_a_history_as_lines() throws Exception {
+    // GIVEN
+    HistoryRecorder recorder = new HistoryRecorder();
+    good().forEach(recorder::record);
+    StringBuilder lines = new StringBuilder();
+    // WHEN
+    recorder.write(lines);
+    HistoryRecorder read = HistoryRecorder.read(new StringReader(lines + "\n"));
+    // THEN
+    assertThat(read.events()).isEqualTo(good());
+    assertThat(read.check()).isEmpty();
+    assertThatThrownBy(() -> HistoryRecorder.read(new StringReader(lines + "{}")))
+        .hasMessageContaining("line " + (good().size() + 1));
   }
 }
--- a/masticspread-state/src/test/java/org/masticspread/state/journal/JournalTest.java
+++ b/masticspread-state/src/test/java/org/masticspread/state/journal/JournalTest.java
@@ -1,7 +1,6 @@
 package org.masticspread.state.journal;
 
 import static org.assertj.core.api.Assertions.assertThat;
-import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import java.time.Duration;
 import java.util.ArrayList;
@@ -9,125 +8,23 @@
 import java.util.List;
 import java.util.Queue;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionException;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
-import org.masticspread.model.id.DataCentreId;
-import org.masticspread.model.id.ShardId;
-import org.masticspread.model.id.VmId;
-import org.masticspread.model.id.VmIncarnation;
-import org.masticspread.model.platform.Transaction;
 import org.masticspread.model.result.ResultCode;
-import org.masticspread.model.work.Payload;
-import org.masticspread.state.format.RecordFormatException;
-import org.masticspread.state.format.RecordFormatException.Problem;
-import org.masticspread.state.format.StateKeys;
-import org.masticspread.state.session.FenceRow;
-import org.masticspread.state.session.SessionKeeper;
-import org.masticspread.state.session.SessionState;
-import org.masticspread.state.session.SessionTiming;
 import org.masticspread.state.shard.JournalRecord;
-import org.masticspread.state.testing.FakeTable;
 import org.masticspread.state.testing.Fault;
 import org.masticspread.state.testing.Samples;
-import org.masticspread.state.testing.VirtualClock;
-
-class JournalTest {
-  private static final ShardId SHARD = ShardId.work(1);
-  private static final long EPOCH = 3;
-  private static final Duration HOLD = Duration.ofSeconds(2);
-
-  private final VirtualClock clock = new VirtualClock();
-  private final FakeTable table = new FakeTable(clock);
-  private final List<JournalRecord> applied = new ArrayList<>();
-  private final JournalSink sink =
-      new JournalSink() {
-        @Override
-        public boolean accepts(ShardId shard, long epoch) {
-          return epoch == EPOCH;
-        }
-
-        @Override
-        public void durable(ShardId shard, long epoch, JournalRecord record) {
-          applied.add(record);
-        }
-      };
-  private final List<CompletableFuture<Void>> queued = new ArrayList<>();
-  private VmIncarnation self;
-  private Journal journal;
-
-  @BeforeEach
-  void open() throws Exception {
-    SessionKeeper keeper =
-        new SessionKeeper(
-            table,
-            SessionTiming.DEFAULT,
-            VmId.of("vm-a"),
-            "a:1",
-            DataCentreId.of("gori"),
-            "n",
-            clock::nanos);
-    self = keeper.open();
-    journal = journal(JournalSettings.DEFAULT);
-  }
-
-  private Journal journal(JournalSettings settings) {
-    return new Journal(table, self, settings, sink, clock, clock::nanos, Samples.random(1));
-  }
-
-  private CompletableFuture<Void> append(String job) {
-    return append(job, HOLD);
-  }
-
-  private CompletableFuture<Void> append(String job, Duration hold) {
-    var record = new JournalRecord.JobAccepted(Samples.job(job, 1, true), clock.instant());
-    return journal.append(SHARD, EPOCH, record, clock.instant().plus(hold)).toCompletableFuture();
-  }
-
-  private void queue(String job) {
-    queued.add(append(job));
-  }
-
-  private void flushLater() {
-    clock.advance(Duration.ofSeconds(3));
-    journal.flush();
-  }
-
-  private List<String> stored() throws Exception {
-    List<String> jobs = new ArrayList<>();
-    for (JournalBatch batch : new JournalReader(table).read(self, 1)) {
-      batch.entries().forEach(e -> jobs.add(jobOf(e.record())));
-    }
-    return jobs;
-  }
-
-  private static String jobOf(JournalRecord record) {
-    return ((JournalRecord.JobAccepted) record).spec().key().job().value();
-  }
-
-  private static AppendException errorOf(CompletableFuture<Void> result) {
-    try {
-      result.getNow(null);
-      return null;
-    } catch (CompletionException e) {
-      return (AppendException) e.getCause();
-    }
-  }
-
-  private void fence(SessionState state) throws Exception {
-    table.commit(new Transaction(List.of(), List.of(FenceRow.write(self, state))));
-  }
 
+class JournalTest extends JournalFixture {
   @Nested
   class Append {
     @Test
@@ -337,91 +234,6 @@
     }
   }
 
-  @Nested
-  class Fenced {
-    @ParameterizedTest
-    @CsvSource({
-      "NONE, FENCED, true, NOT_OWNER",
-      "ERROR_BEFORE, FENCED, true, NOT_OWNER",
-      "ERROR_BEFORE, COLLECTED, false, OUTCOME_UNKNOWN",
-      "ERROR_AFTER, FENCED, , ",
-      "LATE_EFFECT, FENCED, true, NOT_OWNER"
-    })
-    void should_tell_what_is_certain(
-        Fault fault, SessionState state, Boolean notWritten, ResultCode code) throws Exception {
-      // GIVEN
-      final CompletableFuture<Void> result = append("a", Duration.ofHours(1));
-      if (fault != Fault.NONE) {
-        table.failCommits("journal/", fault);
-        journal.flush();
-      }
-      fence(state);
-      // WHEN
-      for (int i = 0; i < 4; i++) {
-        flushLater();
-      }
-      // THEN
-      AppendException error = errorOf(result);
-      assertThat(error == null ? null : error.isNotWritten()).isEqualTo(notWritten);
-      assertThat(error == null ? null : error.code()).isEqualTo(code);
-      assertThat(stored().isEmpty()).isEqualTo(error != null);
-      assertThat(table.fencedWrites()).isEmpty();
-      if (error != null) {
-        assertThat(errorOf(append("b"))).isInstanceOf(FencedException.class);
-      }
-    }
-  }
-
-  @Nested
-  class Read {
-    @BeforeEach
-    void write() {
-      for (String job : List.of("a", "b", "c")) {
-        queue(job);
-        journal.flush();
-      }
-    }
-
-    @ParameterizedTest
-    @CsvSource({"TORN", "FOREIGN", "NEWER_VERSION", "MISSING"})
-    void should_name_a_bad_row(Problem problem) throws Exception {
-      // GIVEN
-      String key = StateKeys.journal(self, 2);
-      byte[] bytes = table.read(key).orElseThrow().value().bytes().clone();
-      switch (problem) {
-        case TORN -> bytes[bytes.length - 1]++;
-        case FOREIGN ->
-            bytes = table.read(StateKeys.journal(self, 1)).orElseThrow().value().bytes();
-        case NEWER_VERSION -> bytes[3]++;
-        default -> table.remove(key);
-      }
-      if (problem != Problem.MISSING) {
-        table.overwrite(key, new Payload(bytes));
-      }
-      // WHEN // THEN
-      assertThatThrownBy(() -> new JournalReader(table).read(self, 1))
-          .isInstanceOfSatisfying(
-              RecordFormatException.class,
-              e -> assertThat(e.problem() + e.name()).isEqualTo(problem + key));
-    }
-
-    @Test
-    void should_return_nothing_past_the_end() throws Exception {
-      // GIVEN // WHEN // THEN
-      assertThat(new JournalReader(table).read(self, 4)).isEmpty();
-    }
-
-    @Test
-    void should_trim_only_rows_below_the_position() throws Exception {
-      // GIVEN // WHEN
-      boolean done = journal.trim(3);
-      // THEN
-      assertThat(done).isTrue();
-      assertThat(table.keys("journal/")).containsExactly(StateKeys.journal(self, 3));
-      assertThat(new JournalReader(table).read(self, 3)).hasSize(1);
-    }
-  }
-
   @Test
   void should_keep_the_fleet_within_its_write_budget() {
     // GIVEN // WHEN // THEN
--- a/masticspread-state/src/test/java/org/masticspread/state/testing/FakeTable.java
+++ b/masticspread-state/src/test/java/org/masticspread/state/testing/FakeTable.java
@@ -36,7 +36,6 @@
   private TreeMap<String, Row> rows = new TreeMap<>();
   private TreeMap<String, Row> before = rows;
   private boolean down;
-  private boolean readsDown;
   private long calls;
   private long commits;
   private long scans;
@@ -59,13 +58,11 @@
   /** Refuses every call while down. */
   public synchronized void setDown(boolean down) {
     this.down = down;
-    this.readsDown = down;
   }
 
   /** Takes all faults away. */
   public synchronized void heal() {
     down = false;
-    readsDown = false;
     commitFaults.clear();
     readFaults.clear();
   }
@@ -116,7 +113,7 @@
 
   private NavigableMap<String, Row> visible(String key) throws StoreException {
     deliverLate();
-    Fault fault = readsDown ? Fault.REFUSED : next(readFaults, key);
+    Fault fault = down ? Fault.REFUSED : next(readFaults, key);
     switch (fault) {
       case NONE, LATE_EFFECT -> {
         return rows;
--- a/masticspread-state/src/test/java/org/masticspread/state/testing/TestCluster.java
+++ b/masticspread-state/src/test/java/org/masticspread/state/testing/TestCluster.java
@@ -16,6 +16,7 @@
 import org.masticspread.model.work.JobView;
 import org.masticspread.state.history.HistoryChecker;
 import org.masticspread.state.history.HistoryEvent;
+import org.masticspread.state.history.HistoryRecorder;
 import org.masticspread.state.ownership.OwnershipSettings;
 import org.masticspread.state.shard.Retention;
 
@@ -32,7 +33,7 @@
   private final Set<VmId> leaving = new HashSet<>();
   private final Map<ShardEpoch, VmIncarnation> holders = new HashMap<>();
   private final List<String> problems = new ArrayList<>();
-  private final List<HistoryEvent> history = new ArrayList<>();
+  private final HistoryRecorder history = new HistoryRecorder();
   private int sends;
   private int nonces;
 
@@ -136,7 +137,7 @@
     all.addAll(table.fencedWrites());
     Stream.concat(TestVm.MAP.workShards(), Stream.of(ShardId.rack(TestVm.RACK)))
         .forEach(shard -> checkHeldOnce(shard, all));
-    List<HistoryEvent> whole = new ArrayList<>(history);
+    List<HistoryEvent> whole = new ArrayList<>(history.events());
     for (TestVm vm : running.values()) {
       for (JobView job : vm.jobs()) {
         whole.add(new HistoryEvent.JobShown(job.spec().key(), job.phase(), clock.instant()));
@@ -158,11 +159,11 @@
   /** A job whose every submission was refused as not written must not be there. */
   private void checkNotRefused(JobView job, List<String> all) {
     long submitted =
-        history.stream()
+        history.events().stream()
             .filter(e -> e instanceof HistoryEvent.JobSubmitted s && s.job().equals(key(job)))
             .count();
     long refused =
-        history.stream()
+        history.events().stream()
             .filter(e -> e instanceof HistoryEvent.JobAnswered a && a.job().equals(key(job)))
             .filter(e -> ((HistoryEvent.JobAnswered) e).code().isRetryable())
             .count();
@@ -176,12 +177,12 @@
   }
 
   void log(HistoryEvent event) {
-    history.add(event);
+    history.record(event);
   }
 
   /** Returns what callers and endpoints saw. */
   public List<HistoryEvent> history() {
-    return history;
+    return history.events();
   }
 
   String nextSend() {
--- a/masticspread-state/src/test/java/org/masticspread/state/testing/TestVm.java
+++ b/masticspread-state/src/test/java/org/masticspread/state/testing/TestVm.java
@@ -272,16 +272,6 @@
     return keeper;
   }
 
-  /** Returns the watcher of sessions. */
-  public SessionWatcher watcher() {
-    return watcher;
-  }
-
-  /** Returns the journal. */
-  public Journal journal() {
-    return journal;
-  }
-
   /** Returns the ownership of shards. */
   public ShardOwnership ownership() {
     return ownership;
