policy: tests of the request scheduler; kept slots with a burst of their own

Change: over-floor by backlog; a second tag with a quarter of the burst guards half of the kept slots; reserve sized by charged slot time.

--- /dev/null
+++ b/masticspread-ctl/src/test/java/org/masticspread/ctl/measure/request/WaitMeasureTest.java
@@ -0,0 +1,53 @@
+package org.masticspread.ctl.measure.request;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.List;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.masticspread.ctl.measure.MeasureReport;
+
+class WaitMeasureTest {
+  private static final MeasureReport<RequestRow> REPORT =
+      WaitMeasure.of(1)
+          .over(List.of(Deployment.kitami(), Deployment.mtkvari()), Duration.ofSeconds(10))
+          .report();
+
+  private static RequestRow row(String policy, String deployment, String workClass) {
+    return REPORT.rows().stream()
+        .filter(row -> row.policy().equals(policy) && row.deployment().equals(deployment))
+        .filter(row -> row.workClass().equals(workClass))
+        .findFirst()
+        .orElseThrow();
+  }
+
+  @ParameterizedTest
+  @CsvSource({
+    "kitami, all",
+    "kitami, urgent",
+    "mtkvari, all",
+    "mtkvari, urgent",
+  })
+  void should_wait_less_than_half_as_long_as_random_routing(String deployment, String workClass) {
+    // WHEN
+    RequestRow own = row(RequestPolicies.MASTICSPREAD, deployment, workClass);
+    RequestRow random = row("random", deployment, workClass);
+    // THEN
+    assertThat(own.waitP99Ms()).isLessThan(random.waitP99Ms() / 2);
+    assertThat(own.deadlinesMet()).isGreaterThanOrEqualTo(random.deadlinesMet());
+  }
+
+  @ParameterizedTest
+  @CsvSource({"round-robin", "fifo", "random-free", "strict-priority"})
+  void should_answer_urgent_work_no_later_than_other_baselines(String baseline) {
+    for (String deployment : List.of("kitami", "mtkvari")) {
+      // WHEN
+      RequestRow own = row(RequestPolicies.MASTICSPREAD, deployment, "urgent");
+      RequestRow other = row(baseline, deployment, "urgent");
+      // THEN
+      assertThat(own.waitP99Ms()).isLessThanOrEqualTo(other.waitP99Ms());
+      assertThat(own.responseP99Ms()).isLessThanOrEqualTo(other.responseP99Ms());
+    }
+  }
+}
--- a/masticspread-policy/src/main/java/org/masticspread/policy/request/internal/ClassQueue.java
+++ b/masticspread-policy/src/main/java/org/masticspread/policy/request/internal/ClassQueue.java
@@ -18,6 +18,9 @@
   /** The instant up to which the floor is used; at or before now means within the floor. */
   long floorTag;
 
+  /** As the floor tag, with a smaller burst; at or before now means kept slots may be taken. */
+  long keptTag;
+
   /** Spare service so far, in slot nanoseconds. */
   double spareUsed;
 
@@ -44,7 +47,7 @@
       return isBacklogged();
     }
     double backlogNanos = entries.size() * serviceTime.meanNanos() / floorSlots;
-    return floorTag - now + backlogNanos > burstNanos;
+    return Math.max(0, floorTag - now) + backlogNanos > burstNanos;
   }
 
   /** Returns when the queue must be served for its first entry, and those behind, to be in time. */
--- a/masticspread-policy/src/main/java/org/masticspread/policy/request/internal/ExpiryHeap.java
+++ b/masticspread-policy/src/main/java/org/masticspread/policy/request/internal/ExpiryHeap.java
@@ -9,6 +9,7 @@
 
   private final PriorityQueue<Item> items = new PriorityQueue<>(Comparator.comparingLong(Item::at));
   private int garbage;
+  private long examined;
 
   void add(Entry entry, long at) {
     items.add(new Item(entry, at));
@@ -18,6 +19,7 @@
   void forget() {
     garbage++;
     if (garbage > LEAST_GARBAGE && garbage > items.size() / 2) {
+      examined += items.size();
       items.removeIf(item -> !item.entry().queued);
       garbage = 0;
     }
@@ -35,6 +37,11 @@
     return null;
   }
 
+  /** Returns how many items all clean-ups have looked at. */
+  long examined() {
+    return examined;
+  }
+
   int size() {
     return items.size();
   }
--- a/masticspread-policy/src/main/java/org/masticspread/policy/request/internal/FairQueue.java
+++ b/masticspread-policy/src/main/java/org/masticspread/policy/request/internal/FairQueue.java
@@ -16,7 +16,8 @@
  */
 final class FairQueue {
   private static final int BURST_REQUESTS = 4;
-  private static final int CREDIT_DIVISOR = 4;
+  private static final int KEPT_REQUESTS = 16;
+  private static final int KEPT_DIVISOR = 4;
   private static final long OVERDUE_NANOS = 250_000_000L;
   private static final int CANDIDATES = 8;
   private static final Comparator<ClassQueue> BY_FLOOR =
@@ -79,18 +80,19 @@
   /**
    * Returns the class to serve next, or null when the free slots are kept for urgent work.
    *
-   * <p>Urgent work with unused floor takes any free slot. Other entitled work leaves half of the
-   * kept slots or all of them, unless it has unused floor and has waited for long.
+   * <p>Urgent work within its floor takes any free slot, after a burst all but half of those kept.
+   * Other work within its floor leaves half of the kept slots or all of them, unless it has unused
+   * floor and has waited for long. All else leaves them all.
    */
   Choice choose(long now, int freeSlots, int reservedSlots) {
-    long creditNanos = burstNanos / CREDIT_DIVISOR;
+    long creditNanos = burstNanos / KEPT_DIVISOR;
     boolean half = freeSlots > reservedSlots / 2;
     boolean open = freeSlots > reservedSlots;
-    Predicate<ClassQueue> isCalm = queue -> !queue.isOverFloor(now, burstNanos);
+    Predicate<ClassQueue> mayTakeKept = queue -> half || queue.keptTag <= now;
     Predicate<ClassQueue> isOverdue =
         queue -> queue.entries.first().queuedAt <= now - OVERDUE_NANOS;
     Choice choice =
-        open ? withinFloor(now, Urgency.URGENT) : firstWhere(now, Urgency.URGENT, isCalm);
+        open ? withinFloor(now, Urgency.URGENT) : firstWhere(now, Urgency.URGENT, mayTakeKept);
     if (choice == null) {
       choice =
           half
@@ -175,10 +177,13 @@
   void charge(Choice choice, long now, double costNanos) {
     ClassQueue queue = choice.queue();
     TeamAccount team = queue.team;
-    double leastNanos = BURST_REQUESTS * queue.serviceTime.meanNanos();
-    queue.floorTag = advanced(queue.floorTag, now, costNanos, leastNanos, queue.floorSlots);
-    team.floorTag = advanced(team.floorTag, now, costNanos, leastNanos, team.floorSlots);
-    team.shareTag = advanced(team.shareTag, now, costNanos, leastNanos, team.shareSlots);
+    double meanNanos = queue.serviceTime.meanNanos();
+    long burst = burst(burstNanos, BURST_REQUESTS * meanNanos, queue.floorSlots);
+    long kept = burst(burstNanos / KEPT_DIVISOR, KEPT_REQUESTS * meanNanos, queue.floorSlots);
+    queue.floorTag = advanced(queue.floorTag, now - burst, costNanos, queue.floorSlots);
+    queue.keptTag = advanced(queue.keptTag, now - kept, costNanos, queue.floorSlots);
+    team.floorTag = advanced(team.floorTag, now - burstNanos, costNanos, team.floorSlots);
+    team.shareTag = advanced(team.shareTag, now - burstNanos, costNanos, team.shareSlots);
     if (choice.stage() != Stage.SPARE) {
       return;
     }
@@ -192,6 +197,7 @@
     ClassQueue queue = choice.queue();
     TeamAccount team = queue.team;
     queue.floorTag += steps(moreNanos, queue.floorSlots);
+    queue.keptTag += steps(moreNanos, queue.floorSlots);
     team.floorTag += steps(moreNanos, team.floorSlots);
     team.shareTag += steps(moreNanos, team.shareSlots);
     if (choice.stage() == Stage.SPARE) {
@@ -209,13 +215,12 @@
     return Math.max(1, team.config.weight());
   }
 
-  private long advanced(
-      long tag, long now, double costNanos, double leastBurstNanos, double slots) {
-    if (slots <= 0) {
-      return Times.NEVER;
-    }
-    long burst = Math.max(burstNanos, steps(leastBurstNanos, slots));
-    return Math.max(tag, now - burst) + steps(costNanos, slots);
+  private static long burst(long least, double leastNanos, double slots) {
+    return Math.max(least, steps(leastNanos, slots));
+  }
+
+  private static long advanced(long tag, long earliest, double costNanos, double slots) {
+    return slots <= 0 ? Times.NEVER : Math.max(tag, earliest) + steps(costNanos, slots);
   }
 
   private static long steps(double costNanos, double slots) {
--- a/masticspread-policy/src/main/java/org/masticspread/policy/request/internal/PoolScheduler.java
+++ b/masticspread-policy/src/main/java/org/masticspread/policy/request/internal/PoolScheduler.java
@@ -240,7 +240,7 @@
     Flight flight = attempts.start(entry, choice, nanos, false);
     queue.drain.served(nanos, flight.estimateNanos);
     if (choice.stage() == Stage.CLASS_FLOOR && Gate.isUrgent(queue)) {
-      reserve.served(flight.estimateNanos);
+      reserve.served(flight.chargedNanos);
     }
     return dispatched(flight, now, nanos);
   }
--- a/masticspread-policy/src/main/java/org/masticspread/policy/request/internal/Reserve.java
+++ b/masticspread-policy/src/main/java/org/masticspread/policy/request/internal/Reserve.java
@@ -4,12 +4,13 @@
  * Sizes the slots that stay free for urgent work within its floor.
  *
  * <p>With urgent work taking the part r of the slots, about r to the power n of its arrivals find n
- * kept slots taken.
+ * kept slots taken. Half of the kept slots are open to urgent work after a burst as well, so half
+ * of them are enough for the rest.
  */
 final class Reserve {
   private static final long WINDOW_NANOS = 500_000_000L;
   private static final double GAIN = 0.3;
-  private static final double MISSED_PART = 0.0001;
+  private static final double MISSED_PART = 0.001;
   private static final int MOST_DIVISOR = 8;
 
   private long windowStart;
@@ -28,8 +29,8 @@
     if (part <= 0) {
       return 0;
     }
-    int wanted = (int) Math.ceil(Math.log(MISSED_PART) / Math.log(part));
-    return Math.min(wanted, slots / MOST_DIVISOR);
+    int half = (int) Math.ceil(Math.log(MISSED_PART) / Math.log(part));
+    return Math.min(2 * half, slots / MOST_DIVISOR);
   }
 
   private void roll(long now) {
--- a/masticspread-policy/src/main/java/org/masticspread/policy/request/internal/Router.java
+++ b/masticspread-policy/src/main/java/org/masticspread/policy/request/internal/Router.java
@@ -93,9 +93,7 @@
   }
 
   int busySlots() {
-    return taking()
-        .mapToInt(b -> Math.min(b.limit(), b.inFlight + b.formerHeld + b.held))
-        .sum();
+    return taking().mapToInt(b -> Math.min(b.limit(), b.inFlight + b.formerHeld + b.held)).sum();
   }
 
   int inFlight(EndpointId endpoint) {
--- a/masticspread-policy/src/main/java/org/masticspread/policy/request/internal/Shares.java
+++ b/masticspread-policy/src/main/java/org/masticspread/policy/request/internal/Shares.java
@@ -71,6 +71,7 @@
       for (ClassQueue queue : team.classes) {
         queue.floorSlots = team.floorSlots * queue.config.floor() / Math.max(1, classFloors);
         queue.floorTag = reachable(queue.floorTag, queue.floorSlots);
+        queue.keptTag = reachable(queue.keptTag, queue.floorSlots);
       }
     }
   }
--- /dev/null
+++ b/masticspread-policy/src/test/java/org/masticspread/policy/request/RouteBenchmark.java
@@ -0,0 +1,65 @@
+package org.masticspread.policy.request;
+
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.masticspread.model.platform.EndpointOutcome;
+import org.masticspread.model.work.Urgency;
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.BenchmarkMode;
+import org.openjdk.jmh.annotations.Fork;
+import org.openjdk.jmh.annotations.Measurement;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.Setup;
+import org.openjdk.jmh.annotations.State;
+import org.openjdk.jmh.annotations.Warmup;
+import org.openjdk.jmh.runner.Runner;
+import org.openjdk.jmh.runner.RunnerException;
+import org.openjdk.jmh.runner.options.OptionsBuilder;
+
+/** Times one route decision with 30 endpoints and deferrable work waiting. */
+@State(Scope.Thread)
+@BenchmarkMode(Mode.SampleTime)
+@OutputTimeUnit(TimeUnit.MICROSECONDS)
+@Warmup(iterations = 2, time = 2)
+@Measurement(iterations = 3, time = 2)
+@Fork(1)
+public class RouteBenchmark {
+  private static final int WAITING = 300;
+
+  private RequestFixture fixture;
+
+  /** Fills the queue. */
+  @Setup
+  public void fill() {
+    fixture = RequestFixture.of(30, 8);
+    for (int i = 0; i < WAITING; i++) {
+      fixture.offered("b", Urgency.DEFERRABLE);
+    }
+    fixture.dispatchAll();
+  }
+
+  /**
+   * Offers a request, routes it and ends it.
+   *
+   * @return what followed
+   */
+  @Benchmark
+  public Object route() {
+    fixture.offered("a", Urgency.URGENT);
+    Optional<Dispatch> dispatch = fixture.scheduler.next();
+    return dispatch.map(
+        sent -> fixture.scheduler.finished(sent, EndpointOutcome.ANSWERED, RequestFixture.TOOK));
+  }
+
+  /**
+   * Runs the benchmark.
+   *
+   * @param args not used
+   * @throws RunnerException if it fails
+   */
+  public static void main(String[] args) throws RunnerException {
+    new Runner(new OptionsBuilder().include(RouteBenchmark.class.getSimpleName()).build()).run();
+  }
+}
