--- a/masticspread-ctl/src/main/java/org/masticspread/ctl/measure/placement/Strategies.java
+++ b/masticspread-ctl/src/main/java/org/masticspread/ctl/measure/placement/Strategies.java
@@ -3,7 +3,9 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.SplittableRandom;
+import org.masticspread.model.resource.ResourceVector;
 import org.masticspread.policy.placement.BestFit;
+import org.masticspread.policy.placement.Hole;
 import org.masticspread.policy.placement.PlacementStrategy;
 
 /** The placement strategy in use and the baselines beside it. */
@@ -14,6 +16,8 @@
   /** The name of the baseline that takes the first worker with room. */
   static final String FIRST_FIT = "first-fit";
 
+  private static final double ACCELERATOR_PENALTY = 10.0;
+
   private Strategies() {}
 
   /** Returns the strategies by name, ours first. */
@@ -21,10 +25,30 @@
     SplittableRandom random = new SplittableRandom(seed);
     Map<String, PlacementStrategy> all = new LinkedHashMap<>();
     all.put(OURS, new BestFit());
+    all.put("best-fit-balanced", Strategies::balanced);
     all.put(FIRST_FIT, (hole, size) -> 0);
     all.put("best-fit-memory", (hole, size) -> hole.freeMemoryBytes());
     all.put("worst-fit-memory", (hole, size) -> -hole.freeMemoryBytes());
     all.put("random", (hole, size) -> random.nextDouble());
     return all;
   }
+
+  /** Rates as the strategy in use did before it counted broken holes. */
+  private static double balanced(Hole hole, ResourceVector size) {
+    ResourceVector capacity = hole.capacity();
+    double cores = part(hole.freeMillicores() - size.millicores(), capacity.millicores());
+    double memory = part(hole.freeMemoryBytes() - size.memoryBytes(), capacity.memoryBytes());
+    double cost = cores + memory + Math.abs(cores - memory);
+    if (hole.freeAccelerators() == 0) {
+      return cost;
+    }
+    if (size.accelerators() == 0) {
+      return cost + ACCELERATOR_PENALTY;
+    }
+    return cost + part(hole.freeAccelerators() - size.accelerators(), capacity.accelerators());
+  }
+
+  private static double part(long amount, long whole) {
+    return whole == 0 ? 0 : (double) amount / whole;
+  }
 }
--- a/masticspread-policy/src/main/java/org/masticspread/policy/placement/RackLedger.java
+++ b/masticspread-policy/src/main/java/org/masticspread/policy/placement/RackLedger.java
@@ -172,7 +172,10 @@
    * @param worker the worker
    */
   public synchronized void hold(WorkerId worker) {
-    holdOrNot(worker, true);
+    WorkerSlot slot = books.slot(worker);
+    if (slot != null) {
+      slot.hold(true);
+    }
   }
 
   /**
@@ -193,14 +196,6 @@
     return lost;
   }
 
-  @GuardedBy("this")
-  private void holdOrNot(WorkerId worker, boolean unknown) {
-    WorkerSlot slot = books.slot(worker);
-    if (slot != null) {
-      slot.hold(unknown);
-    }
-  }
-
   /**
    * Gives the named workers nothing new because tasks fail on them, and all others new work again.
    *
@@ -407,22 +402,6 @@
    * @return the state
    */
   public synchronized RackDigest digest(long epoch) {
-    ResourceVector free = ResourceVector.ZERO;
-    ResourceVector capacity = ResourceVector.ZERO;
-    ResourceVector largest = ResourceVector.ZERO;
-    double largestShare = -1;
-    for (WorkerSlot slot : books.slots()) {
-      ResourceVector usable = slot.usable();
-      double share = slot.usableShare();
-      free = free.plus(usable);
-      if (slot.accepts()) {
-        capacity = capacity.plus(slot.capacity());
-      }
-      if (share > largestShare) {
-        largest = usable;
-        largestShare = share;
-      }
-    }
-    return new RackDigest(rack, epoch, free, largest, capacity, books.usage());
+    return books.digest(rack, epoch);
   }
 }
--- a/masticspread-policy/src/main/java/org/masticspread/policy/placement/internal/Books.java
+++ b/masticspread-policy/src/main/java/org/masticspread/policy/placement/internal/Books.java
@@ -13,11 +13,13 @@
 import org.masticspread.model.config.EndpointState;
 import org.masticspread.model.config.WorkerConfig;
 import org.masticspread.model.id.PoolId;
+import org.masticspread.model.id.RackId;
 import org.masticspread.model.id.ShardId;
 import org.masticspread.model.id.TaskKey;
 import org.masticspread.model.id.TeamId;
 import org.masticspread.model.id.WorkerId;
 import org.masticspread.model.peer.PlaceTask;
+import org.masticspread.model.peer.RackDigest;
 import org.masticspread.model.peer.RunningTask;
 import org.masticspread.model.peer.TeamUsage;
 import org.masticspread.model.platform.TaskAttempt;
@@ -267,4 +269,31 @@
   public List<TeamUsage> usage() {
     return usage.entrySet().stream().map(e -> new TeamUsage(e.getKey(), e.getValue())).toList();
   }
+
+  /**
+   * Sums up the rack for the other VMs.
+   *
+   * @param rack the rack
+   * @param epoch the epoch of the rack shard
+   * @return the state
+   */
+  public RackDigest digest(RackId rack, long epoch) {
+    ResourceVector free = ResourceVector.ZERO;
+    ResourceVector capacity = ResourceVector.ZERO;
+    ResourceVector largest = ResourceVector.ZERO;
+    double largestShare = -1;
+    for (WorkerSlot slot : slots.values()) {
+      ResourceVector usable = slot.usable();
+      double share = slot.usableShare();
+      free = free.plus(usable);
+      if (slot.accepts()) {
+        capacity = capacity.plus(slot.capacity());
+      }
+      if (share > largestShare) {
+        largest = usable;
+        largestShare = share;
+      }
+    }
+    return new RackDigest(rack, epoch, free, largest, capacity, usage());
+  }
 }
