masticctl: sizes and times in a package of their own

Cause: the pure questionnaire depended on the commands for two value types. Change: MemorySize and Times in units, ConfigEditor beside the shared command parts. Conclusion: no cycle between questionnaire and commands.

--- a/masticspread-ctl/src/main/java/org/masticspread/ctl/command/entity/ConfigEditor.java
+++ b/masticspread-ctl/src/main/java/org/masticspread/ctl/command/ConfigEditor.java
@@ -1,10 +1,7 @@
-package org.masticspread.ctl.command.entity;
+package org.masticspread.ctl.command;
 
 import org.masticspread.ctl.client.ApiClient;
 import org.masticspread.ctl.client.ConfigChange;
-import org.masticspread.ctl.command.CtlContext;
-import org.masticspread.ctl.command.ExitCode;
-import org.masticspread.ctl.command.JsonFlag;
 import org.masticspread.model.config.Configuration;
 import org.masticspread.model.result.MasticspreadException;
 
--- a/masticspread-ctl/src/main/java/org/masticspread/ctl/command/entity/EntityCommand.java
+++ b/masticspread-ctl/src/main/java/org/masticspread/ctl/command/entity/EntityCommand.java
@@ -1,5 +1,6 @@
 package org.masticspread.ctl.command.entity;
 
+import org.masticspread.ctl.command.ConfigEditor;
 import org.masticspread.ctl.command.CtlCommand;
 import org.masticspread.ctl.command.CtlContext;
 import org.masticspread.ctl.command.ExitCode;
--- a/masticspread-ctl/src/main/java/org/masticspread/ctl/command/entity/SizeFlags.java
+++ b/masticspread-ctl/src/main/java/org/masticspread/ctl/command/entity/SizeFlags.java
@@ -1,8 +1,8 @@
 package org.masticspread.ctl.command.entity;
 
 import org.masticspread.ctl.command.Flags;
-import org.masticspread.ctl.command.MemorySize;
 import org.masticspread.ctl.command.UsageException;
+import org.masticspread.ctl.units.MemorySize;
 import org.masticspread.model.resource.ResourceVector;
 
 /** Builds resource vectors out of flags. */
--- a/masticspread-ctl/src/main/java/org/masticspread/ctl/command/entity/TeamFlags.java
+++ b/masticspread-ctl/src/main/java/org/masticspread/ctl/command/entity/TeamFlags.java
@@ -1,8 +1,8 @@
 package org.masticspread.ctl.command.entity;
 
 import org.masticspread.ctl.command.Flags;
-import org.masticspread.ctl.command.MemorySize;
 import org.masticspread.ctl.command.UsageException;
+import org.masticspread.ctl.units.MemorySize;
 import org.masticspread.model.config.TeamConfig;
 import org.masticspread.model.id.PoolId;
 import org.masticspread.model.id.TeamId;
--- a/masticspread-ctl/src/main/java/org/masticspread/ctl/command/entity/WorkClassFlags.java
+++ b/masticspread-ctl/src/main/java/org/masticspread/ctl/command/entity/WorkClassFlags.java
@@ -2,8 +2,8 @@
 
 import java.time.Duration;
 import org.masticspread.ctl.command.Flags;
-import org.masticspread.ctl.command.MemorySize;
 import org.masticspread.ctl.command.UsageException;
+import org.masticspread.ctl.units.MemorySize;
 import org.masticspread.model.config.WorkClassConfig;
 import org.masticspread.model.id.TeamId;
 import org.masticspread.model.id.WorkClassId;
--- a/masticspread-ctl/src/main/java/org/masticspread/ctl/questionnaire/Rule.java
+++ b/masticspread-ctl/src/main/java/org/masticspread/ctl/questionnaire/Rule.java
@@ -9,8 +9,8 @@
 import java.util.function.Predicate;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
-import org.masticspread.ctl.command.MemorySize;
-import org.masticspread.ctl.command.Times;
+import org.masticspread.ctl.units.MemorySize;
+import org.masticspread.ctl.units.Times;
 import org.masticspread.model.id.Names;
 
 /**
--- a/masticspread-ctl/src/main/java/org/masticspread/ctl/command/Times.java
+++ b/masticspread-ctl/src/main/java/org/masticspread/ctl/units/Times.java
@@ -1,4 +1,4 @@
-package org.masticspread.ctl.command;
+package org.masticspread.ctl.units;
 
 import java.time.Duration;
 import java.time.format.DateTimeParseException;
--- /dev/null
+++ b/masticspread-ctl/src/main/java/org/masticspread/ctl/units/package-info.java
@@ -0,0 +1,2 @@
+/** Sizes and times as people write them in flags and answers. */
+package org.masticspread.ctl.units;
