--- a/masticspread-platform/src/main/java/org/masticspread/platform/http/StandInRoutes.java
+++ b/masticspread-platform/src/main/java/org/masticspread/platform/http/StandInRoutes.java
@@ -23,7 +23,7 @@
 
 /** Maps the paths of the HTTP calls to the ports of a platform. */
 final class StandInRoutes {
-  private static final Duration LONGEST_RUN = Duration.ofHours(1);
+  private static final Duration LONGEST_RUN = Duration.ofMinutes(2);
 
   private final Map<String, Route> fixed;
   private final WorkerPort workers;
--- a/masticspread-platform/src/main/java/org/masticspread/platform/standin/EndpointFleet.java
+++ b/masticspread-platform/src/main/java/org/masticspread/platform/standin/EndpointFleet.java
@@ -188,7 +188,8 @@
       return;
     }
     EndpointReply late = EndpointReply.of(EndpointOutcome.NO_ANSWER, "no answer in time");
-    timer.after(timeout, () -> reply.complete(late));
+    Runnable cancel = timer.cancellable(timeout, () -> reply.complete(late));
+    var ignored = reply.whenComplete((value, error) -> cancel.run());
   }
 
   private void note(EndpointRun run) {
--- a/masticspread-wire/src/main/java/org/masticspread/wire/PeerClient.java
+++ b/masticspread-wire/src/main/java/org/masticspread/wire/PeerClient.java
@@ -41,7 +41,8 @@
   }
 
   /**
-   * Closes the connection to a peer that is gone, once its calls have ended.
+   * Closes the connection to a peer that is gone. Blocks until its calls have ended, at most for
+   * the close timeout.
    *
    * @param peer the peer
    */
--- a/masticspread-wire/src/main/java/org/masticspread/wire/internal/Handshake.java
+++ b/masticspread-wire/src/main/java/org/masticspread/wire/internal/Handshake.java
@@ -5,6 +5,7 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.reactivex.rxjava3.core.Scheduler;
 import io.reactivex.rxjava3.disposables.Disposable;
+import java.io.IOException;
 import java.util.concurrent.TimeUnit;
 import org.masticspread.model.id.VmId;
 import org.masticspread.wire.WireFormatException;
@@ -47,7 +48,9 @@
 
   @Override
   public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-    wire.metrics().stranger();
+    if (!(cause instanceof IOException)) {
+      wire.metrics().stranger();
+    }
     logger.atWarning().log(
         "wire: handshake with %s failed: %s",
         context.channel().remoteAddress(), cause.getMessage());
--- a/masticspread-wire/src/main/java/org/masticspread/wire/internal/Link.java
+++ b/masticspread-wire/src/main/java/org/masticspread/wire/internal/Link.java
@@ -38,20 +38,22 @@
     }
     long id = ids.incrementAndGet();
     pending.put(id, call);
+    if (!call.handOver(() -> forget(id))) {
+      forget(id);
+      return;
+    }
     channel
-        .writeAndFlush(call.handOver(id))
+        .writeAndFlush(call.frame(id))
         .addListener(
             written -> {
               if (!written.isSuccess()) {
-                pending.remove(id);
                 call.fail(false, "not written: " + written.cause().getMessage());
               }
             });
   }
 
-  /** Forgets calls that ended by their deadline. */
-  void forgetEnded() {
-    pending.values().removeIf(PendingCall::hasEnded);
+  private void forget(long id) {
+    pending.remove(id);
     closeIfDone();
   }
 
@@ -73,18 +75,16 @@
       return;
     }
     PendingCall call = frame.isAnswer() ? pending.remove(frame.id()) : null;
-    if (call == null || call.hasEnded()) {
+    if (call == null) {
       wire.metrics().droppedAnswer();
       return;
     }
     settle(call, frame);
-    closeIfDone();
   }
 
   @Override
   public void channelInactive(ChannelHandlerContext context) {
     pending.values().forEach(call -> call.fail("the connection to " + peer + " was lost"));
-    pending.clear();
     context.fireChannelInactive();
   }
 
--- a/masticspread-wire/src/main/java/org/masticspread/wire/internal/Target.java
+++ b/masticspread-wire/src/main/java/org/masticspread/wire/internal/Target.java
@@ -110,13 +110,8 @@
 
   private void expire(PendingCall call) {
     call.fail("no answer from " + peer + " in time");
-    Link current;
     synchronized (lock) {
       waiting.remove(call);
-      current = link;
-    }
-    if (current != null) {
-      current.forgetEnded();
     }
   }
 
@@ -198,7 +193,7 @@
       unsent = drain();
       unwanted = closed;
     }
-    unsent.stream().filter(call -> !call.hasEnded()).forEach(fresh::send);
+    unsent.forEach(fresh::send);
     if (unwanted) {
       fresh.leave();
     }
