--- a/masticspread-node/src/main/java/org/masticspread/node/launch/Node.java
+++ b/masticspread-node/src/main/java/org/masticspread/node/launch/Node.java
@@ -34,6 +34,8 @@
 import org.masticspread.model.platform.TaskAttempt;
 import org.masticspread.model.result.MasticspreadException;
 import org.masticspread.node.api.ApiRoutes;
+import org.masticspread.node.api.JobService;
+import org.masticspread.node.api.RequestService;
 import org.masticspread.node.api.Tokens;
 import org.masticspread.node.config.NodeConfig;
 import org.masticspread.node.explain.DecisionLog;
@@ -357,6 +359,24 @@
             settings.timing().longestAnswer()));
   }
 
+  /**
+   * Returns what takes requests.
+   *
+   * @return the requests
+   */
+  public RequestService requests() {
+    return requests;
+  }
+
+  /**
+   * Returns what takes jobs.
+   *
+   * @return the jobs
+   */
+  public JobService jobs() {
+    return jobGate;
+  }
+
   /**
    * Returns the metrics.
    *
