--- a/masticspread-node/src/main/java/org/masticspread/node/trial/Links.java
+++ b/masticspread-node/src/main/java/org/masticspread/node/trial/Links.java
@@ -83,13 +83,14 @@
     }
     count(call.message);
     pending.computeIfAbsent(call.to, vm -> new LinkedHashSet<>()).add(call);
-    time.after(timeout, () -> call.fail(true, "no answer in time"));
+    time.after(timeout, () -> call.fail(call.sent, "no answer in time"));
     Station target = stations.get(call.to);
     LinkFault fault = faultOf(call.from, call.to);
     if (fault == LinkFault.CUT || target == null || target.gate().isEnded()) {
       time.after(SILENCE_FOUND, () -> call.fail(false, "no connection"));
       return call.result;
     }
+    call.sent = true;
     if (fault == LinkFault.SILENT || !target.gate().answers()) {
       time.after(SILENCE_FOUND, () -> call.fail(true, "silent"));
     }
@@ -163,6 +164,7 @@
     private final VmGate gate;
     private final PeerMessage message;
     private final CompletableFuture<PeerMessage> result = new CompletableFuture<>();
+    private boolean sent;
 
     Call(VmId from, VmId to, VmGate gate, PeerMessage message) {
       this.from = from;
--- a/masticspread-node/src/main/java/org/masticspread/node/trial/TrialCell.java
+++ b/masticspread-node/src/main/java/org/masticspread/node/trial/TrialCell.java
@@ -315,6 +315,16 @@
     return vms.values().stream().filter(TrialVm::takesWork).findFirst().orElseThrow();
   }
 
+  /**
+   * Does something later, outside any VM.
+   *
+   * @param wait how much later
+   * @param task what to do
+   */
+  public void later(Duration wait, Runnable task) {
+    time.after(wait, task);
+  }
+
   /**
    * Lets time pass.
    *
