Homes take a request that must run at most once only once

Cause: a RunAtHome message that arrived again after the first one had ended was admitted again, so the request ran twice. Change: a home remembers such keys until their answer-by time.

--- a/masticspread-node/src/main/java/org/masticspread/node/request/EndpointHome.java
+++ b/masticspread-node/src/main/java/org/masticspread/node/request/EndpointHome.java
@@ -49,6 +49,7 @@
   private final EndpointPort endpoints;
   private final InstantSource clock;
   private final Map<RequestKey, Waiting> waiting = new ConcurrentHashMap<>();
+  private final Map<RequestKey, Instant> seenOnce = new ConcurrentHashMap<>();
   private final Meter dispatched;
   private final Meter broken;
   private volatile Set<EndpointId> homed = Set.of();
@@ -117,7 +118,8 @@
   }
 
   /**
-   * Runs a request.
+   * Runs a request. One that must run at most once is taken once until its answer-by time is over,
+   * so that a message that arrives twice does not run it again.
    *
    * @param request the request
    * @return the outcome; the stage never fails
@@ -128,6 +130,12 @@
     if (earlier != null) {
       return repeat(request, earlier);
     }
+    if (!request.idempotent()
+        && seenOnce.putIfAbsent(request.key(), request.answerBy()) != null) {
+      deliver(
+          Answer.of(request.key(), ResultCode.OUTCOME_UNKNOWN, "the same message came before"));
+      return mine.answer();
+    }
     Admission admission = scheduler.offer(request);
     if (admission instanceof Admission.Refused refused) {
       Answer answer =
@@ -154,6 +162,8 @@
 
   /** Ends requests whose time is over and sends those that are due. */
   public void tick() {
+    Instant now = clock.instant();
+    seenOnce.values().removeIf(now::isAfter);
     conclude(scheduler.expire());
     pump();
   }
