A store outage ends in a certain not-run for requests and jobs

Cause: the owner gave up at the very answer-by time, so its answer came after the caller's VM had given up; and tries of 5 s ended before that. Change: owners give up 200 ms (at most a quarter) earlier, and a try may use the whole time; heartbeats end calls to silent owners.

--- a/masticspread-node/src/main/java/org/masticspread/node/job/JobGate.java
+++ b/masticspread-node/src/main/java/org/masticspread/node/job/JobGate.java
@@ -32,6 +32,7 @@
 
 /** Takes calls about jobs and sends them to the owner of their work shard. */
 public final class JobGate implements JobService {
+  private static final Duration ANSWER_MARGIN = Duration.ofMillis(200);
   private static final Duration READ_WITHIN = Duration.ofSeconds(5);
 
   private final VmId self;
@@ -69,7 +70,7 @@
   @Override
   public CompletionStage<JobAnswered> submit(JobSpec job, Instant acceptBy) {
     ShardId shard = map.workShard(job.key());
-    return call(shard, new SubmitJob(shard, job, acceptBy), acceptBy);
+    return call(shard, new SubmitJob(shard, job, acceptBy.minus(ANSWER_MARGIN)), acceptBy);
   }
 
   @Override
@@ -81,7 +82,7 @@
   @Override
   public CompletionStage<JobAnswered> cancel(JobKey job, Instant acceptBy) {
     ShardId shard = map.workShard(job);
-    return call(shard, new CancelJob(shard, job, acceptBy), acceptBy);
+    return call(shard, new CancelJob(shard, job, acceptBy.minus(ANSWER_MARGIN)), acceptBy);
   }
 
   private CompletionStage<JobAnswered> call(ShardId shard, PeerMessage message, Instant until) {
--- a/masticspread-node/src/main/java/org/masticspread/node/member/ShardCalls.java
+++ b/masticspread-node/src/main/java/org/masticspread/node/member/ShardCalls.java
@@ -16,14 +16,14 @@
 
 /**
  * Calls the owner of a shard and follows it when it moves. Only for messages that may be sent
- * twice.
+ * twice. An owner may use the whole time, as while the store is down; the heartbeats of the inner
+ * protocol end the call to one that is silent.
  *
  * <p>Example: {@code calls.call(shard, message, JobAnswered.class, a -> a.code() == NOT_OWNER,
  * by)}.
  */
 public final class ShardCalls {
   private static final Duration PAUSE = Duration.ofMillis(100);
-  private static final Duration LONGEST_TRY = Duration.ofSeconds(5);
 
   private final Members members;
   private final PeerCalls calls;
@@ -101,8 +101,7 @@
         pause();
         return;
       }
-      Duration timeout = left.compareTo(LONGEST_TRY) < 0 ? left : LONGEST_TRY;
-      calls.call(owner.get(), message, kind, timeout).whenComplete(this::take);
+      calls.call(owner.get(), message, kind, left).whenComplete(this::take);
     }
 
     private void take(T answer, Throwable thrown) {
--- a/masticspread-node/src/main/java/org/masticspread/node/request/AtMostOnce.java
+++ b/masticspread-node/src/main/java/org/masticspread/node/request/AtMostOnce.java
@@ -34,6 +34,7 @@
  * <p>Example: {@code atMostOnce.run(message)}.
  */
 public final class AtMostOnce {
+  private static final Duration ANSWER_MARGIN = Duration.ofMillis(200);
   private static final Duration RECORD_HOLD = Duration.ofMinutes(5);
 
   private final Function<ShardId, Optional<JobShards.Owned>> shards;
@@ -146,16 +147,23 @@
       inFlight.put(request.key(), result);
       counter(shard.shard()).incrementAndGet();
       Instant now = clock.instant();
-      Duration left = Duration.between(now, request.answerBy());
+      Duration left = waitFor(Duration.between(now, request.answerBy()));
+      Instant markBy = now.plus(left);
       timeout = scheduler.scheduleDirect(this::giveUp, left.toMillis(), TimeUnit.MILLISECONDS);
       JournalRecord mark =
           new JournalRecord.RequestStarted(request.key(), Fingerprint.of(request), now);
       journal
-          .append(shard.shard(), shard.epoch(), mark, request.answerBy())
+          .append(shard.shard(), shard.epoch(), mark, markBy)
           .whenComplete(this::marked);
       return result;
     }
 
+    /** Leaves time for the answer to get back to the caller's VM. */
+    private static Duration waitFor(Duration answerWithin) {
+      Duration quarter = answerWithin.dividedBy(4);
+      return answerWithin.minus(quarter.compareTo(ANSWER_MARGIN) < 0 ? quarter : ANSWER_MARGIN);
+    }
+
     /** Takes the one decision between dispatching and giving up. */
     private synchronized boolean decide() {
       boolean first = !decided;
