--- a/masticspread-ctl/src/main/java/org/masticspread/ctl/RootCommand.java
+++ b/masticspread-ctl/src/main/java/org/masticspread/ctl/RootCommand.java
@@ -5,6 +5,7 @@
 import org.masticspread.ctl.command.questionnaire.QuestionnaireCommand;
 import org.masticspread.ctl.command.watch.AuditCommand;
 import org.masticspread.ctl.command.watch.ExplainCommand;
+import org.masticspread.ctl.command.watch.MetricsCommand;
 import org.masticspread.ctl.command.watch.StatusCommand;
 import org.masticspread.ctl.command.watch.TopCommand;
 import org.masticspread.ctl.command.work.JobCommand;
@@ -23,6 +24,7 @@
       TopCommand.class,
       ExplainCommand.class,
       AuditCommand.class,
+      MetricsCommand.class,
       ConfigCommand.class,
       QuestionnaireCommand.class,
       MeasureCommand.class,
--- a/masticspread-ctl/src/main/java/org/masticspread/ctl/client/ApiClient.java
+++ b/masticspread-ctl/src/main/java/org/masticspread/ctl/client/ApiClient.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectReader;
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
 import java.util.Objects;
@@ -229,15 +230,29 @@
     return get(TeamToken.class, "team-tokens", team.value());
   }
 
+  /**
+   * Reads the metrics of the node.
+   *
+   * @return the text that scrapers read, one line a value
+   * @throws ApiException if the node refuses or does not answer
+   */
+  public String metrics() throws ApiException {
+    return new String(exchange("GET", List.of("metrics"), null).body(), StandardCharsets.UTF_8);
+  }
+
   private <T> T get(Class<T> type, String... path) throws ApiException {
     return call("GET", List.of(path), null, type);
   }
 
   private <T> T call(String method, List<String> path, Object body, Class<T> type)
       throws ApiException {
+    return read(exchange(method, withVersion(path), body), type);
+  }
+
+  private HttpReply exchange(String method, List<String> path, Object body) throws ApiException {
     HttpReply reply;
     try {
-      reply = transport.send(method, withVersion(path), toJson(body), Duration.ZERO);
+      reply = transport.send(method, path, toJson(body), Duration.ZERO);
     } catch (NotSentException e) {
       throw new ApiException(ResultCode.CONNECT_FAILED, "no node reached: " + e.getMessage(), e);
     } catch (IOException e) {
@@ -246,7 +261,7 @@
     if (reply.isError()) {
       throw refusal(reply);
     }
-    return read(reply, type);
+    return reply;
   }
 
   private Result act(
--- a/masticspread-node/src/main/java/org/masticspread/node/launch/Node.java
+++ b/masticspread-node/src/main/java/org/masticspread/node/launch/Node.java
@@ -189,6 +189,7 @@
         new PeerDispatch(
             members, home, atMostOnce, jobs, racks, config, decisions, threads.blocking());
     events = new ShardEvents(jobs, racks, atMostOnce, clock, threads.blocking());
+    NodeGauges.register(metrics, state, config, jobs, racks);
     config.onChange(this::configure);
   }
 
