--- a/masticspread-ctl/src/main/java/org/masticspread/ctl/CtlCommandLine.java
+++ b/masticspread-ctl/src/main/java/org/masticspread/ctl/CtlCommandLine.java
@@ -82,7 +82,7 @@
     if (isHelp(option)) {
       return;
     }
-    String description = String.join(" ", option.description());
+    String description = String.join(" ", option.description()).replaceFirst("\\.?$", ".");
     OptionSpec described =
         OptionSpec.builder(option)
             .description(description + " Environment: " + variable(option) + ".")
