--- a/masticspread-policy/src/main/java/org/masticspread/policy/placement/RackLedger.java
+++ b/masticspread-policy/src/main/java/org/masticspread/policy/placement/RackLedger.java
@@ -159,10 +159,7 @@
    */
   @CanIgnoreReturnValue
   public synchronized Observation adopt(WorkerReport report) {
-    WorkerSlot slot = books.slot(report.worker());
-    if (slot != null) {
-      slot.hold(false);
-    }
+    books.hold(report.worker(), false);
     return observe(report, mark());
   }
 
@@ -172,10 +169,7 @@
    * @param worker the worker
    */
   public synchronized void hold(WorkerId worker) {
-    WorkerSlot slot = books.slot(worker);
-    if (slot != null) {
-      slot.hold(true);
-    }
+    books.hold(worker, true);
   }
 
   /**
@@ -186,14 +180,7 @@
    */
   @CanIgnoreReturnValue
   public synchronized List<TaskAttempt> lapsed(WorkerId worker) {
-    WorkerSlot slot = books.slot(worker);
-    if (slot == null) {
-      return List.of();
-    }
-    List<TaskAttempt> lost = slot.attempts();
-    lost.forEach(books::release);
-    slot.hold(false);
-    return lost;
+    return books.lapse(worker);
   }
 
   /**
--- a/masticspread-policy/src/main/java/org/masticspread/policy/placement/internal/Books.java
+++ b/masticspread-policy/src/main/java/org/masticspread/policy/placement/internal/Books.java
@@ -87,6 +87,36 @@
     return slots.get(worker);
   }
 
+  /**
+   * Changes whether a worker counts as full because it has not told what it runs.
+   *
+   * @param worker the worker
+   * @param unknown whether it counts as full
+   */
+  public void hold(WorkerId worker, boolean unknown) {
+    WorkerSlot slot = slots.get(worker);
+    if (slot != null) {
+      slot.hold(unknown);
+    }
+  }
+
+  /**
+   * Frees all that is booked on a worker, and holds it no longer.
+   *
+   * @param worker the worker
+   * @return the attempts that were booked there
+   */
+  public List<TaskAttempt> lapse(WorkerId worker) {
+    WorkerSlot slot = slots.get(worker);
+    if (slot == null) {
+      return List.of();
+    }
+    List<TaskAttempt> lost = slot.attempts();
+    lost.forEach(this::release);
+    slot.hold(false);
+    return lost;
+  }
+
   /**
    * Finds the worker of least cost on which a size fits.
    *
