Free nothing at adoption; keep what a detector knows of other pools

Cause: adopt took its mark after the worker had answered, so a start confirmed in between was freed while it ran; aside for one pool forgot the failures on workers of the others. Change: adopt frees nothing by absence (the next observed report does); aside looks only at the named workers. Conclusion: a test for each; module green.

--- a/masticspread-policy/src/main/java/org/masticspread/policy/health/TroubleDetector.java
+++ b/masticspread-policy/src/main/java/org/masticspread/policy/health/TroubleDetector.java
@@ -155,23 +155,18 @@
    */
   public synchronized Set<WorkerId> aside(Set<WorkerId> all) {
     Instant now = clock.instant();
-    workers.keySet().retainAll(all);
-    workers.values().forEach(w -> endAside(w, now));
+    Map<WorkerId, WorkerRecord> known = new HashMap<>(workers);
+    known.keySet().retainAll(all);
+    known.values().forEach(w -> endAside(w, now));
     int bound = Math.max(1, all.size() * MAX_ASIDE_PERCENT / 100);
-    long already = workers.values().stream().filter(w -> w.isAside(now)).count();
-    workers.values().stream()
+    long already = known.values().stream().filter(w -> w.isAside(now)).count();
+    known.values().stream()
         .filter(w -> !w.isAside(now) && isSuspect(w))
         .sorted(Comparator.comparingInt((WorkerRecord w) -> w.failedJobs.size()).reversed())
         .limit(Math.max(0, bound - already))
         .forEach(w -> putAside(w, now));
-    Set<WorkerId> aside = new HashSet<>();
-    workers.forEach(
-        (worker, known) -> {
-          if (known.isAside(now)) {
-            aside.add(worker);
-          }
-        });
-    return aside;
+    known.values().removeIf(w -> !w.isAside(now));
+    return Set.copyOf(known.keySet());
   }
 
   private static boolean isSuspect(WorkerRecord worker) {
--- a/masticspread-policy/src/main/java/org/masticspread/policy/placement/RackLedger.java
+++ b/masticspread-policy/src/main/java/org/masticspread/policy/placement/RackLedger.java
@@ -55,6 +55,8 @@
 public final class RackLedger {
   private static final Duration PROMISE_TTL = Duration.ofSeconds(10);
 
+  private static final Mark NO_MARK = new Mark(0, Instant.MIN);
+
   private final RackId rack;
   private final InstantSource clock;
   private final PlacementStrategy strategy;
@@ -152,7 +154,8 @@
   }
 
   /**
-   * Takes in what a worker told after its seal, and gives it new work from now on.
+   * Takes in what a worker told after its seal, and gives it new work from now on. Frees nothing
+   * because it is missing in the report, which may be older than the last confirmed start.
    *
    * @param report the report
    * @return what changed
@@ -160,7 +163,7 @@
   @CanIgnoreReturnValue
   public synchronized Observation adopt(WorkerReport report) {
     books.hold(report.worker(), false);
-    return observe(report, mark());
+    return observe(report, NO_MARK);
   }
 
   /**
--- a/masticspread-policy/src/test/java/org/masticspread/policy/health/TroubleDetectorTest.java
+++ b/masticspread-policy/src/test/java/org/masticspread/policy/health/TroubleDetectorTest.java
@@ -98,6 +98,8 @@
     }
     // THEN
     assertThat(detector.aside(WORKERS)).hasSize(2);
+    assertThat(detector.aside(Set.of(WorkerId.of("other-pool")))).isEmpty();
+    assertThat(detector.aside(WORKERS)).hasSize(2);
   }
 
   @ParameterizedTest
--- a/masticspread-policy/src/test/java/org/masticspread/policy/placement/RackLedgerTest.java
+++ b/masticspread-policy/src/test/java/org/masticspread/policy/placement/RackLedgerTest.java
@@ -170,6 +170,18 @@
           .isEqualTo(order == null ? List.of() : List.of(order));
     }
 
+    @Test
+    void should_keep_a_start_confirmed_after_the_seal_was_answered() {
+      // GIVEN
+      PlaceTask task = batch("job", Urgency.NORMAL, size(16, 16));
+      ledger.place(task);
+      ledger.started(attempt(task));
+      // WHEN
+      ledger.adopt(report(WORKER));
+      // THEN
+      assertThat(ledger.workerOf(attempt(task))).contains(WORKER);
+    }
+
     @Test
     void should_adopt_tasks_that_an_earlier_owner_started() {
       // GIVEN
