--- a/masticspread-policy/src/main/java/org/masticspread/policy/placement/RackLedger.java
+++ b/masticspread-policy/src/main/java/org/masticspread/policy/placement/RackLedger.java
@@ -55,6 +55,8 @@
 public final class RackLedger {
   private static final Duration PROMISE_TTL = Duration.ofSeconds(10);
 
+  private static final Mark NO_MARK = new Mark(0, Instant.MIN);
+
   private final RackId rack;
   private final InstantSource clock;
   private final PlacementStrategy strategy;
@@ -152,18 +154,16 @@
   }
 
   /**
-   * Takes in what a worker told after its seal, and gives it new work from now on.
+   * Takes in what a worker told after its seal, and gives it new work from now on. Frees nothing
+   * because it is missing in the report, which may be older than the last confirmed start.
    *
    * @param report the report
    * @return what changed
    */
   @CanIgnoreReturnValue
   public synchronized Observation adopt(WorkerReport report) {
-    WorkerSlot slot = books.slot(report.worker());
-    if (slot != null) {
-      slot.hold(false);
-    }
-    return observe(report, mark());
+    books.hold(report.worker(), false);
+    return observe(report, NO_MARK);
   }
 
   /**
@@ -172,10 +172,7 @@
    * @param worker the worker
    */
   public synchronized void hold(WorkerId worker) {
-    WorkerSlot slot = books.slot(worker);
-    if (slot != null) {
-      slot.hold(true);
-    }
+    books.hold(worker, true);
   }
 
   /**
@@ -186,14 +183,7 @@
    */
   @CanIgnoreReturnValue
   public synchronized List<TaskAttempt> lapsed(WorkerId worker) {
-    WorkerSlot slot = books.slot(worker);
-    if (slot == null) {
-      return List.of();
-    }
-    List<TaskAttempt> lost = slot.attempts();
-    lost.forEach(books::release);
-    slot.hold(false);
-    return lost;
+    return books.lapse(worker);
   }
 
   /**
