ctl: one place for what the runs of a request measure share; route benchmark on free slots

Cause: FloodMeasure and WaitMeasure stood twice (duplicates); the benchmark had no free slot, so it timed an empty answer. Change: RequestRuns; the benchmark takes 200 of 240 slots and requires a dispatch.

--- a/masticspread-ctl/src/main/java/org/masticspread/ctl/measure/request/Deployment.java
+++ b/masticspread-ctl/src/main/java/org/masticspread/ctl/measure/request/Deployment.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.stream.IntStream;
 import org.masticspread.model.config.Configuration;
 import org.masticspread.model.config.EndpointConfig;
 import org.masticspread.model.config.EndpointState;
@@ -44,13 +45,8 @@
    * @return the deployment
    */
   public static Deployment kitami() {
-    List<ClassShape> classes =
-        List.of(
-            new ClassShape("order", Urgency.URGENT, false, 0.4, Duration.ofSeconds(2)),
-            new ClassShape("status", Urgency.NORMAL, true, 0.2, Duration.ofSeconds(4)),
-            new ClassShape("dye-lots", Urgency.DEFERRABLE, true, 0.4, Duration.ofSeconds(6)));
     List<String> teams = List.of("workshop", "funeral-directors", "temple-offices", "relatives");
-    return of("kitami", teams, 30, classes, Duration.ofMillis(40));
+    return of("kitami", teams, 30, classes("dye-lots"), Duration.ofMillis(40));
   }
 
   /**
@@ -74,16 +70,15 @@
    * @return the deployment
    */
   public static Deployment laterSize() {
-    List<ClassShape> classes =
-        List.of(
-            new ClassShape("order", Urgency.URGENT, false, 0.4, Duration.ofSeconds(2)),
-            new ClassShape("status", Urgency.NORMAL, true, 0.2, Duration.ofSeconds(4)),
-            new ClassShape("batch", Urgency.DEFERRABLE, true, 0.4, Duration.ofSeconds(6)));
-    List<String> teams = new ArrayList<>();
-    for (int i = 1; i <= 34; i++) {
-      teams.add("team-" + i);
-    }
-    return of("later-size", teams, 90, classes, Duration.ofMillis(40));
+    List<String> teams = IntStream.rangeClosed(1, 34).mapToObj(i -> "team-" + i).toList();
+    return of("later-size", teams, 90, classes("batch"), Duration.ofMillis(40));
+  }
+
+  private static List<ClassShape> classes(String deferrable) {
+    return List.of(
+        new ClassShape("order", Urgency.URGENT, false, 0.4, Duration.ofSeconds(2)),
+        new ClassShape("status", Urgency.NORMAL, true, 0.2, Duration.ofSeconds(4)),
+        new ClassShape(deferrable, Urgency.DEFERRABLE, true, 0.4, Duration.ofSeconds(6)));
   }
 
   private static Deployment of(
--- a/masticspread-ctl/src/main/java/org/masticspread/ctl/measure/request/FloodMeasure.java
+++ b/masticspread-ctl/src/main/java/org/masticspread/ctl/measure/request/FloodMeasure.java
@@ -6,24 +6,19 @@
 import java.util.List;
 import java.util.Map;
 import org.masticspread.ctl.measure.MeasureReport;
-import org.masticspread.ctl.measure.request.Run.Phases;
 
 /**
  * Measures what each work class keeps while others flood.
  *
- * <p>Example: {@code FloodMeasure.of(1).over(List.of(Deployment.kitami())).report()}.
+ * <p>Example: {@code FloodMeasure.of(1).report()}.
  */
 public final class FloodMeasure {
   private static final Duration COUNTED = Duration.ofSeconds(15);
 
-  private final long seed;
-  private final List<Deployment> deployments;
-  private final Phases phases;
+  private final RequestRuns runs;
 
-  private FloodMeasure(long seed, List<Deployment> deployments, Phases phases) {
-    this.seed = seed;
-    this.deployments = deployments;
-    this.phases = phases;
+  private FloodMeasure(RequestRuns runs) {
+    this.runs = runs;
   }
 
   /**
@@ -33,29 +28,18 @@
    * @return the measure
    */
   public static FloodMeasure of(long seed) {
-    List<Deployment> all =
-        List.of(Deployment.kitami(), Deployment.mtkvari(), Deployment.laterSize());
-    return new FloodMeasure(seed, all, RequestPolicies.phases(COUNTED));
+    return new FloodMeasure(RequestRuns.of(seed, COUNTED));
   }
 
   /**
-   * Returns the measure over other deployments.
+   * Returns the measure over other deployments and another time.
    *
    * @param others the deployments
-   * @return the measure
-   */
-  public FloodMeasure over(List<Deployment> others) {
-    return new FloodMeasure(seed, others, phases);
-  }
-
-  /**
-   * Returns the measure over another time.
-   *
    * @param counted how long arriving requests are counted, on the virtual clock
    * @return the measure
    */
-  public FloodMeasure lasting(Duration counted) {
-    return new FloodMeasure(seed, deployments, RequestPolicies.phases(counted));
+  public FloodMeasure over(List<Deployment> others, Duration counted) {
+    return new FloodMeasure(runs.over(others, counted));
   }
 
   /**
@@ -64,12 +48,14 @@
    * @return a row per policy, deployment, scenario and work class
    */
   public MeasureReport<RequestRow> report() {
+    return runs.report("flood", this::rows);
+  }
+
+  private List<RequestRow> rows(Deployment deployment) {
     List<RequestRow> rows = new ArrayList<>();
-    for (Deployment deployment : deployments) {
-      RequestPolicies.forFloods()
-          .forEach((name, factory) -> rows.addAll(rows(deployment, name, factory)));
-    }
-    return new MeasureReport<>("flood", seed, rows);
+    RequestPolicies.forFloods()
+        .forEach((name, factory) -> rows.addAll(rows(deployment, name, factory)));
+    return rows;
   }
 
   private List<RequestRow> rows(
@@ -77,18 +63,14 @@
     List<RequestRow> rows = new ArrayList<>();
     Map<RequestStream, StreamResult> calm = new LinkedHashMap<>();
     for (Scenario scenario : Scenario.floods()) {
-      RequestPolicy policy = factory.create(deployment, seed);
-      Map<RequestStream, StreamResult> results =
-          new Run(deployment, scenario, policy, phases, seed).results();
+      RowMaker maker = runs.rowMaker(name, deployment, scenario);
+      Map<RequestStream, StreamResult> results = runs.run(deployment, scenario, factory).results();
       if (calm.isEmpty()) {
         calm.putAll(results);
       }
       results.forEach(
-          (stream, result) -> {
-            boolean flooded = scenario.isFlooded(stream);
-            RowMaker maker = new RowMaker(name, deployment.name(), scenario.name(), phases);
-            rows.add(maker.row(stream, flooded, result, calm.get(stream)));
-          });
+          (stream, result) ->
+              rows.add(maker.row(stream, scenario.isFlooded(stream), result, calm.get(stream))));
     }
     return rows;
   }
--- a/masticspread-ctl/src/main/java/org/masticspread/ctl/measure/request/RequestPolicies.java
+++ b/masticspread-ctl/src/main/java/org/masticspread/ctl/measure/request/RequestPolicies.java
@@ -1,18 +1,14 @@
 package org.masticspread.ctl.measure.request;
 
-import java.time.Duration;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.function.IntUnaryOperator;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
-import org.masticspread.ctl.measure.request.Run.Phases;
 
 /** The policies that measures compare, by name. */
 final class RequestPolicies {
   static final String MASTICSPREAD = "masticspread";
-  private static final Duration WARM_UP = Duration.ofSeconds(4);
-  private static final Duration AFTER = Duration.ofSeconds(7);
 
   private RequestPolicies() {}
 
@@ -22,10 +18,6 @@
     RequestPolicy create(Deployment deployment, long seed);
   }
 
-  static Phases phases(Duration counted) {
-    return new Phases(WARM_UP, counted, AFTER);
-  }
-
   static Map<String, Factory> forFloods() {
     Map<String, Factory> factories = new LinkedHashMap<>();
     factories.put(MASTICSPREAD, ScheduledPolicy::new);
--- a/masticspread-ctl/src/main/java/org/masticspread/ctl/measure/request/WaitMeasure.java
+++ b/masticspread-ctl/src/main/java/org/masticspread/ctl/measure/request/WaitMeasure.java
@@ -7,7 +7,6 @@
 import java.util.Locale;
 import java.util.Map;
 import org.masticspread.ctl.measure.MeasureReport;
-import org.masticspread.ctl.measure.request.Run.Phases;
 
 /**
  * Measures waiting with executor speeds eight times apart at 85 % load.
@@ -16,15 +15,12 @@
  */
 public final class WaitMeasure {
   private static final Duration COUNTED = Duration.ofSeconds(30);
+  private static final String ALL = "all";
 
-  private final long seed;
-  private final List<Deployment> deployments;
-  private final Phases phases;
+  private final RequestRuns runs;
 
-  private WaitMeasure(long seed, List<Deployment> deployments, Phases phases) {
-    this.seed = seed;
-    this.deployments = deployments;
-    this.phases = phases;
+  private WaitMeasure(RequestRuns runs) {
+    this.runs = runs;
   }
 
   /**
@@ -34,9 +30,7 @@
    * @return the measure
    */
   public static WaitMeasure of(long seed) {
-    List<Deployment> all =
-        List.of(Deployment.kitami(), Deployment.mtkvari(), Deployment.laterSize());
-    return new WaitMeasure(seed, all, RequestPolicies.phases(COUNTED));
+    return new WaitMeasure(RequestRuns.of(seed, COUNTED));
   }
 
   /**
@@ -47,7 +41,7 @@
    * @return the measure
    */
   public WaitMeasure over(List<Deployment> others, Duration counted) {
-    return new WaitMeasure(seed, others, RequestPolicies.phases(counted));
+    return new WaitMeasure(runs.over(others, counted));
   }
 
   /**
@@ -56,30 +50,32 @@
    * @return a row per policy, deployment and urgency, and one for all urgencies
    */
   public MeasureReport<RequestRow> report() {
+    return runs.report("wait", this::rows);
+  }
+
+  private List<RequestRow> rows(Deployment deployment) {
     List<RequestRow> rows = new ArrayList<>();
-    for (Deployment deployment : deployments) {
-      RequestPolicies.forWaits()
-          .forEach((name, factory) -> rows.addAll(rows(deployment, name, factory)));
-    }
-    return new MeasureReport<>("wait", seed, rows);
+    RequestPolicies.forWaits()
+        .forEach(
+            (name, factory) -> {
+              RowMaker maker = runs.rowMaker(name, deployment, Scenario.SPEEDS_APART);
+              sums(deployment, factory)
+                  .forEach((workClass, sum) -> rows.add(maker.rowOfAll(workClass, sum)));
+            });
+    return rows;
   }
 
-  private List<RequestRow> rows(
-      Deployment deployment, String name, RequestPolicies.Factory factory) {
-    RequestPolicy policy = factory.create(deployment, seed);
+  private Map<String, StreamResult> sums(Deployment deployment, RequestPolicies.Factory factory) {
     Map<String, StreamResult> sums = new LinkedHashMap<>();
-    sums.put("all", new StreamResult());
-    new Run(deployment, Scenario.SPEEDS_APART, policy, phases, seed)
+    sums.put(ALL, new StreamResult());
+    runs.run(deployment, Scenario.SPEEDS_APART, factory)
         .results()
         .forEach(
             (stream, result) -> {
               String urgency = stream.workClass().urgency().name().toLowerCase(Locale.ROOT);
-              sums.get("all").add(result);
+              sums.get(ALL).add(result);
               sums.computeIfAbsent(urgency, u -> new StreamResult()).add(result);
             });
-    RowMaker maker = new RowMaker(name, deployment.name(), Scenario.SPEEDS_APART.name(), phases);
-    List<RequestRow> rows = new ArrayList<>();
-    sums.forEach((workClass, sum) -> rows.add(maker.rowOfAll(workClass, sum)));
-    return rows;
+    return sums;
   }
 }
--- a/masticspread-ctl/src/test/java/org/masticspread/ctl/measure/request/FloodMeasureTest.java
+++ b/masticspread-ctl/src/test/java/org/masticspread/ctl/measure/request/FloodMeasureTest.java
@@ -17,8 +17,7 @@
   private static final long SEED = 1;
   private static final List<RequestRow> ROWS =
       FloodMeasure.of(SEED)
-          .over(List.of(Deployment.kitami(), Deployment.mtkvari()))
-          .lasting(Duration.ofSeconds(6))
+          .over(List.of(Deployment.kitami(), Deployment.mtkvari()), Duration.ofSeconds(6))
           .report()
           .rows();
   private static final List<String> URGENT = List.of("order", "counter-check");
--- a/masticspread-policy/src/test/java/org/masticspread/policy/request/RouteBenchmark.java
+++ b/masticspread-policy/src/test/java/org/masticspread/policy/request/RouteBenchmark.java
@@ -1,6 +1,5 @@
 package org.masticspread.policy.request;
 
-import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.masticspread.model.platform.EndpointOutcome;
 import org.masticspread.model.work.Urgency;
@@ -18,7 +17,7 @@
 import org.openjdk.jmh.runner.RunnerException;
 import org.openjdk.jmh.runner.options.OptionsBuilder;
 
-/** Times one route decision with 30 endpoints and deferrable work waiting. */
+/** Times one route decision with 30 endpoints whose slots are mostly taken. */
 @State(Scope.Thread)
 @BenchmarkMode(Mode.SampleTime)
 @OutputTimeUnit(TimeUnit.MICROSECONDS)
@@ -26,15 +25,15 @@
 @Measurement(iterations = 3, time = 2)
 @Fork(1)
 public class RouteBenchmark {
-  private static final int WAITING = 300;
+  private static final int TAKEN_SLOTS = 200;
 
   private RequestFixture fixture;
 
-  /** Fills the queue. */
+  /** Takes most of the slots. */
   @Setup
   public void fill() {
     fixture = RequestFixture.of(30, 8);
-    for (int i = 0; i < WAITING; i++) {
+    for (int i = 0; i < TAKEN_SLOTS; i++) {
       fixture.offered("b", Urgency.DEFERRABLE);
     }
     fixture.dispatchAll();
@@ -48,9 +47,8 @@
   @Benchmark
   public Object route() {
     fixture.offered("a", Urgency.URGENT);
-    Optional<Dispatch> dispatch = fixture.scheduler.next();
-    return dispatch.map(
-        sent -> fixture.scheduler.finished(sent, EndpointOutcome.ANSWERED, RequestFixture.TOOK));
+    Dispatch dispatch = fixture.scheduler.next().orElseThrow();
+    return fixture.finish(dispatch, EndpointOutcome.ANSWERED);
   }
 
   /**
