Stops are asked for again until the tasks have ended

Cause: an order to stop a cancelled task, or the rest of a gang, was sent once; if it was lost the task ran on for ever. A gang of which a part ran at a takeover was started in part. A shard without a configuration knew no racks and so counted as recovered. Change: owners ask again each second; a gang that runs in part is stopped and starts whole; recovery waits for a configuration.

--- a/masticspread-node/src/main/java/org/masticspread/node/job/JobShards.java
+++ b/masticspread-node/src/main/java/org/masticspread/node/job/JobShards.java
@@ -5,6 +5,7 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -32,6 +33,7 @@
 import org.masticspread.model.platform.WorkerTaskPhase;
 import org.masticspread.model.resource.ResourceVector;
 import org.masticspread.model.result.ResultCode;
+import org.masticspread.model.work.JobKind;
 import org.masticspread.model.work.JobPhase;
 import org.masticspread.model.work.JobSpec;
 import org.masticspread.model.work.JobView;
@@ -168,6 +170,10 @@
   /** Seals racks and goes on with the recovery of shards. */
   public void recover() {
     seals.round(shards.values());
+    shards.values().forEach(this::stopUnwanted);
+    if (configuration.revision() == 0) {
+      return;
+    }
     Instant now = context.clock().instant();
     Set<RackId> racks =
         configuration.workers().stream().map(WorkerConfig::rack).collect(Collectors.toSet());
@@ -189,15 +195,46 @@
       endUnresolved(shard, task);
     }
     for (JobView job : shard.state().activeJobs()) {
-      if (shard.state().isCancelled(job.spec().key())) {
-        stops.stop(shard, shard.placementsOf(job.spec().key()));
-      } else if (job.phase() != JobPhase.PARKED) {
-        enqueue(shard, job);
+      boolean waits = !shard.state().isCancelled(job.spec().key());
+      if (waits && job.phase() != JobPhase.PARKED) {
+        resume(shard, job);
       }
     }
     LOG.atInfo().log("jobs: %s has recovered", shard.id());
   }
 
+  /** A gang of which a part runs and a part waits is stopped, so that it starts again whole. */
+  private void resume(JobShard shard, JobView job) {
+    JobKey key = job.spec().key();
+    boolean partly =
+        job.spec().kind() == JobKind.GANG
+            && !shard.placementsOf(key).isEmpty()
+            && job.tasks().stream().anyMatch(t -> t.phase() == TaskPhase.WAITING);
+    if (partly) {
+      shard.startGangRestart(key);
+      return;
+    }
+    enqueue(shard, job);
+  }
+
+  /** Asks again for the stop of tasks that must not go on; an earlier order may be lost. */
+  private void stopUnwanted(JobShard shard) {
+    if (!context.authority().mayAct()) {
+      return;
+    }
+    Map<TaskKey, Placement> unwanted = new HashMap<>();
+    shard
+        .placements()
+        .forEach(
+            (task, placement) -> {
+              JobKey job = task.job();
+              if (shard.state().isCancelled(job) || shard.isGangRestarting(job)) {
+                unwanted.put(task, placement);
+              }
+            });
+    stops.stop(shard, unwanted);
+  }
+
   private void endUnresolved(JobShard shard, TaskKey task) {
     int attempt = shard.state().task(task).map(TaskView::attempt).orElse(Attempts.NONE);
     append(
