Rack owners put aside workers on which several jobs fail

Cause: the detector was fed by work-shard owners only, and no ledger heard of it. Change: each rack owner learns from the reports of its workers.

--- a/masticspread-node/src/main/java/org/masticspread/node/rack/LeaseRenewal.java
+++ b/masticspread-node/src/main/java/org/masticspread/node/rack/LeaseRenewal.java
@@ -91,6 +91,7 @@
     Map<TaskAttempt, ShardId> shards = rack.shardsOfBooked();
     Observation changes = rack.ledger().adopt(report);
     link.sealed();
+    rack.learn(report);
     tell(rack, worker, link, report, lost(changes.gone(), shards));
   }
 
@@ -104,6 +105,7 @@
     link.answered();
     link.forget(acknowledged);
     Observation changes = rack.ledger().observe(report, mark);
+    rack.learn(report);
     changes
         .orders()
         .forEach(o -> WorkerOrders.send(workers, o.worker(), rack.epoch(), o.task(), o.order()));
--- a/masticspread-node/src/main/java/org/masticspread/node/rack/RackShard.java
+++ b/masticspread-node/src/main/java/org/masticspread/node/rack/RackShard.java
@@ -17,6 +17,10 @@
 import org.masticspread.model.peer.RunningTask;
 import org.masticspread.model.peer.ShardEpoch;
 import org.masticspread.model.platform.TaskAttempt;
+import org.masticspread.model.platform.WorkerReport;
+import org.masticspread.model.platform.WorkerTask;
+import org.masticspread.model.platform.WorkerTaskPhase;
+import org.masticspread.policy.health.TroubleDetector;
 import org.masticspread.policy.placement.RackLedger;
 
 /**
@@ -40,6 +44,7 @@
   private final Instant acquiredAt;
   private final Map<WorkerId, WorkerLink> links = new HashMap<>();
   private final Map<ShardId, Long> shardEpochs = new HashMap<>();
+  private final TroubleDetector trouble;
   private boolean closed;
 
   RackShard(RackId rack, long epoch, RackTimes times, InstantSource clock) {
@@ -49,6 +54,7 @@
     this.clock = clock;
     this.ledger = RackLedger.forRack(rack, clock);
     this.acquiredAt = clock.instant();
+    this.trouble = new TroubleDetector(clock);
   }
 
   RackId rack() {
@@ -73,6 +79,18 @@
     }
   }
 
+  /** Puts workers aside on which the tasks of several jobs fail. */
+  synchronized void learn(WorkerReport report) {
+    for (WorkerTask task : report.tasks()) {
+      if (task.phase() == WorkerTaskPhase.FAILED) {
+        trouble.failed(task.task().job(), report.worker());
+      } else if (task.phase() == WorkerTaskPhase.SUCCEEDED) {
+        trouble.succeeded(task.task().job(), report.worker());
+      }
+    }
+    ledger.putAside(trouble.aside(links.keySet()));
+  }
+
   /** Books nothing new from now on. */
   synchronized void close() {
     closed = true;
