--- a/masticspread-ctl/src/main/java/org/masticspread/ctl/measure/request/WaitCommand.java
+++ b/masticspread-ctl/src/main/java/org/masticspread/ctl/measure/request/WaitCommand.java
@@ -11,7 +11,7 @@
 @Command(
     name = "wait",
     mixinStandardHelpOptions = true,
-    description = "Waiting with executor speeds eight times apart at 85 % load.")
+    description = "Waiting with executor speeds eight times apart at 85 %% load.")
 public final class WaitCommand implements Callable<Integer> {
   @Mixin private MeasureOptions options;
   @Spec private CommandSpec spec;
