--- a/masticspread-policy/src/main/java/org/masticspread/policy/request/internal/Attempts.java
+++ b/masticspread-policy/src/main/java/org/masticspread/policy/request/internal/Attempts.java
@@ -7,6 +7,7 @@
 import java.util.PriorityQueue;
 import org.masticspread.model.platform.EndpointOutcome;
 import org.masticspread.model.result.ResultCode;
+import org.masticspread.model.work.Urgency;
 import org.masticspread.policy.request.Dispatch;
 import org.masticspread.policy.request.RequestLimits;
 import org.masticspread.policy.request.internal.FairQueue.Choice;
@@ -16,6 +17,7 @@
   private static final long LEAST_TIMEOUT_NANOS = Duration.ofMillis(100).toNanos();
   private static final long LEAST_HOLD_NANOS = Duration.ofMillis(50).toNanos();
   private static final double TIMEOUT_OVER_UPPER = 3;
+  private static final double PATIENT_OVER_UPPER = 4;
 
   private final RequestLimits limits;
   private final Router router;
@@ -35,8 +37,8 @@
 
   /** Takes a slot of an endpoint for the entry; there must be a free one. */
   Flight start(Entry entry, Choice choice, long now, boolean hedge) {
-    Backend backend = router.choose(entry.lastEndpoint);
     ServiceTime service = entry.queue.serviceTime;
+    Backend backend = router.choose(entry.lastEndpoint, isPatient(entry, now));
     long hedgeAt = now + (long) (service.upperNanos() * backend.slowness);
     double estimate = service.meanNanos() * backend.slowness;
     double charge = service.meanNanos() * router.meanSlowness();
@@ -56,6 +58,11 @@
     return flight;
   }
 
+  private static boolean isPatient(Entry entry, long now) {
+    double enough = PATIENT_OVER_UPPER * entry.queue.serviceTime.upperNanos();
+    return entry.queue.urgency() == Urgency.DEFERRABLE && entry.answerBy - now > enough;
+  }
+
   Dispatch toDispatch(Flight flight, long now) {
     Entry entry = flight.entry;
     return new Dispatch(
--- a/masticspread-policy/src/main/java/org/masticspread/policy/request/internal/Router.java
+++ b/masticspread-policy/src/main/java/org/masticspread/policy/request/internal/Router.java
@@ -22,6 +22,7 @@
  */
 final class Router {
   private static final int CHOICES = 2;
+  private static final int BUSY_DIVISOR = 2;
   private static final int FAILURES_IN_ROW = 5;
   private static final int LEAST_SAMPLES = 10;
   private static final double FAILED_PART = 0.5;
@@ -105,12 +106,18 @@
     return freeSlots;
   }
 
-  /** Returns an endpoint with a free slot, another than the given one if there is one, or null. */
-  Backend choose(EndpointId notThis) {
+  /**
+   * Returns an endpoint with a free slot, another than the given one if there is one, or null.
+   *
+   * <p>Patient work takes the slower of two choices when most slots are taken, so that the fast
+   * ones stay for other work.
+   */
+  Backend choose(EndpointId notThis, boolean patient) {
+    boolean slower = patient && freeSlots * BUSY_DIVISOR < takingSlots;
     Backend best = null;
     for (int i = 0; i < CHOICES && !open.isEmpty(); i++) {
       Backend candidate = sample(notThis);
-      if (best == null || candidate.score() < best.score()) {
+      if (best == null || candidate.score() < best.score() != slower) {
         best = candidate;
       }
     }
