--- a/masticspread-ctl/src/main/java/org/masticspread/ctl/measure/MeasureCommand.java
+++ b/masticspread-ctl/src/main/java/org/masticspread/ctl/measure/MeasureCommand.java
@@ -4,6 +4,7 @@
 import org.masticspread.ctl.measure.placement.PackingCommand;
 import org.masticspread.ctl.measure.request.FloodCommand;
 import org.masticspread.ctl.measure.request.WaitCommand;
+import org.masticspread.ctl.measure.slopes.SlopesCommand;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.ParameterException;
@@ -18,7 +19,8 @@
       FloodCommand.class,
       WaitCommand.class,
       PackingCommand.class,
-      DecisionsCommand.class
+      DecisionsCommand.class,
+      SlopesCommand.class
     })
 public final class MeasureCommand implements Runnable {
   @Spec private CommandSpec spec;
