--- a/masticspread-ctl/src/main/java/org/masticspread/ctl/measure/slopes/HeapSlopes.java
+++ b/masticspread-ctl/src/main/java/org/masticspread/ctl/measure/slopes/HeapSlopes.java
@@ -80,13 +80,19 @@
   private static Object booked(int tasks) {
     RackLedger ledger = ledger(WORKERS);
     for (int i = 0; i < tasks; i++) {
-      PlaceTask task = Samples.placeTask(i);
-      ledger.place(task).orElseThrow();
-      ledger.started(new TaskAttempt(task.task(), task.attempt()));
+      start(ledger, Samples.placeTask(i));
     }
     return ledger;
   }
 
+  /** Books a task, which must find room, and confirms its start. */
+  static void start(RackLedger ledger, PlaceTask task) {
+    if (ledger.place(task).isEmpty()) {
+      throw new IllegalStateException("slopes: there is no room for " + task.task());
+    }
+    ledger.started(new TaskAttempt(task.task(), task.attempt()));
+  }
+
   private static Object underWay(int tasks) {
     WorkShardState state = acceptedJobs(tasks / Samples.TASKS_PER_JOB);
     Map<TaskKey, Place> places = new HashMap<>();
--- a/masticspread-ctl/src/main/java/org/masticspread/ctl/measure/slopes/TimeSlopes.java
+++ b/masticspread-ctl/src/main/java/org/masticspread/ctl/measure/slopes/TimeSlopes.java
@@ -89,13 +89,13 @@
   private static double placement(int workers, int running) throws Exception {
     RackLedger ledger = HeapSlopes.ledger(workers);
     for (int i = 0; i < running; i++) {
-      ledger.place(Samples.placeTask(i)).orElseThrow();
+      HeapSlopes.start(ledger, Samples.placeTask(i));
     }
     List<PlaceTask> next = Samples.list(PLACES_AT_ONCE, i -> Samples.placeTask(running + i));
     double micros =
         Meters.micros(
             () -> {
-              next.forEach(task -> ledger.place(task).orElseThrow());
+              next.forEach(task -> HeapSlopes.start(ledger, task));
               next.forEach(task -> ledger.ended(new TaskAttempt(task.task(), task.attempt())));
               return ledger;
             });
@@ -106,9 +106,7 @@
     RackLedger ledger = HeapSlopes.ledger(1);
     List<WorkerTask> told = Samples.list(tasks, Samples::workerTask);
     for (int i = 0; i < tasks; i++) {
-      PlaceTask task = Samples.placeTask(i);
-      ledger.place(task).orElseThrow();
-      ledger.started(new TaskAttempt(task.task(), task.attempt()));
+      HeapSlopes.start(ledger, Samples.placeTask(i));
     }
     WorkerReport report = new WorkerReport(Samples.worker(0), 1, told);
     double micros =
