JobQueueTest: the property of Shares runs

Cause: jqwik passes over a @Property in a JUnit @Nested class without @Group, so the check of shares never ran. Change: @Group on that class; no other module has such a class.

--- a/masticspread-policy/src/test/java/org/masticspread/policy/jobs/JobQueueTest.java
+++ b/masticspread-policy/src/test/java/org/masticspread/policy/jobs/JobQueueTest.java
@@ -14,6 +14,7 @@
 import java.util.SplittableRandom;
 import java.util.stream.Collectors;
 import net.jqwik.api.ForAll;
+import net.jqwik.api.Group;
 import net.jqwik.api.Property;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -169,6 +170,7 @@
     }
   }
 
+  @Group
   @Nested
   class Shares {
     /** Deferrable work with a deadline must start in time under a flood of urgent work. */
