--- a/masticspread-ctl/src/main/java/org/masticspread/ctl/measure/MeasureCommand.java
+++ b/masticspread-ctl/src/main/java/org/masticspread/ctl/measure/MeasureCommand.java
@@ -1,5 +1,8 @@
 package org.masticspread.ctl.measure;
 
+import org.masticspread.ctl.measure.cell.ConfigCommand;
+import org.masticspread.ctl.measure.cell.ControlCommand;
+import org.masticspread.ctl.measure.cell.RecoveryCommand;
 import org.masticspread.ctl.measure.placement.DecisionsCommand;
 import org.masticspread.ctl.measure.placement.PackingCommand;
 import org.masticspread.ctl.measure.request.FloodCommand;
@@ -18,7 +21,10 @@
       FloodCommand.class,
       WaitCommand.class,
       PackingCommand.class,
-      DecisionsCommand.class
+      DecisionsCommand.class,
+      RecoveryCommand.class,
+      ConfigCommand.class,
+      ControlCommand.class
     })
 public final class MeasureCommand implements Runnable {
   @Spec private CommandSpec spec;
--- a/masticspread-node/src/main/java/org/masticspread/node/launch/NodeState.java
+++ b/masticspread-node/src/main/java/org/masticspread/node/launch/NodeState.java
@@ -159,7 +159,11 @@
     Retention retention =
         new Retention(timing.recordRetention(), JOBS_KEPT, JOBS_KEPT, timing.longestAnswer());
     OwnershipSettings base = OwnershipSettings.DEFAULT;
-    return new OwnershipSettings(retention, base.snapshotAfterRows(), base.maxSnapshotsPerTick(), base.maxTableSnapshotBytes());
+    return new OwnershipSettings(
+        retention,
+        base.snapshotAfterRows(),
+        base.maxSnapshotsPerTick(),
+        base.maxTableSnapshotBytes());
   }
 
   /** Fences stale sessions, then claims and hands over shards. */
--- a/masticspread-node/src/main/java/org/masticspread/node/request/AtMostOnce.java
+++ b/masticspread-node/src/main/java/org/masticspread/node/request/AtMostOnce.java
@@ -152,9 +152,7 @@
       timeout = scheduler.scheduleDirect(this::giveUp, left.toMillis(), TimeUnit.MILLISECONDS);
       JournalRecord mark =
           new JournalRecord.RequestStarted(request.key(), Fingerprint.of(request), now);
-      journal
-          .append(shard.shard(), shard.epoch(), mark, markBy)
-          .whenComplete(this::marked);
+      journal.append(shard.shard(), shard.epoch(), mark, markBy).whenComplete(this::marked);
       return result;
     }
 
--- a/masticspread-node/src/main/java/org/masticspread/node/request/EndpointHome.java
+++ b/masticspread-node/src/main/java/org/masticspread/node/request/EndpointHome.java
@@ -130,10 +130,8 @@
     if (earlier != null) {
       return repeat(request, earlier);
     }
-    if (!request.idempotent()
-        && seenOnce.putIfAbsent(request.key(), request.answerBy()) != null) {
-      deliver(
-          Answer.of(request.key(), ResultCode.OUTCOME_UNKNOWN, "the same message came before"));
+    if (!request.idempotent() && seenOnce.putIfAbsent(request.key(), request.answerBy()) != null) {
+      deliver(Answer.of(request.key(), ResultCode.OUTCOME_UNKNOWN, "the same message came before"));
       return mine.answer();
     }
     Admission admission = scheduler.offer(request);
--- a/masticspread-node/src/main/java/org/masticspread/node/trial/TrialCell.java
+++ b/masticspread-node/src/main/java/org/masticspread/node/trial/TrialCell.java
@@ -359,6 +359,16 @@
     return Optional.ofNullable(history.codeOf(send));
   }
 
+  /**
+   * Returns when a sending was answered.
+   *
+   * @param send the name of the sending
+   * @return the instant, or empty if it was not answered
+   */
+  public Optional<Instant> answeredAt(String send) {
+    return Optional.ofNullable(history.answeredAt(send));
+  }
+
   /**
    * Counts the sendings that were told a code.
    *
--- a/masticspread-node/src/main/java/org/masticspread/node/trial/TrialFault.java
+++ b/masticspread-node/src/main/java/org/masticspread/node/trial/TrialFault.java
@@ -24,17 +24,14 @@
         window(cell, "objects", Times.LONG).down();
       }),
   /** A part of the calls to the table service take more than a second. */
-  STORE_SLOW(
-      (cell, vm) -> window(cell, "table", Times.SHORT).withChance(0.1).slow(Times.SLOW)),
+  STORE_SLOW((cell, vm) -> window(cell, "table", Times.SHORT).withChance(0.1).slow(Times.SLOW)),
   /** A part of the commits take effect and their answers are lost. */
   STORE_ANSWER_LOST(
       (cell, vm) -> window(cell, "table.commit", Times.SHORT).withChance(0.3).answerLost()),
   /** A part of the calls to the table service fail without effect, which callers can't know. */
-  STORE_ERROR(
-      (cell, vm) -> window(cell, "table", Times.SHORT).withChance(0.3).errorBeforeEffect()),
+  STORE_ERROR((cell, vm) -> window(cell, "table", Times.SHORT).withChance(0.3).errorBeforeEffect()),
   /** The membership list shows what was true long ago. */
-  MEMBERSHIP_STALE(
-      (cell, vm) -> window(cell, "membership.read", Times.LONG).stale(Times.LONG)),
+  MEMBERSHIP_STALE((cell, vm) -> window(cell, "membership.read", Times.LONG).stale(Times.LONG)),
   /** A VM can't open connections to one peer, nor the peer to it. */
   LINK_CUT((cell, vm) -> pair(cell, vm, LinkFault.CUT)),
   /** Messages between a VM and one peer vanish. */
@@ -55,8 +52,7 @@
         cell.later(Times.LONG, () -> cell.platform().workers().revive(worker));
       }),
   /** A worker can't be reached while its tasks go on. */
-  WORKER_UNREACHABLE(
-      (cell, vm) -> onWorker(cell, vm).down()),
+  WORKER_UNREACHABLE((cell, vm) -> onWorker(cell, vm).down()),
   /** A worker obeys and its answers are lost. */
   WORKER_ANSWER_LOST((cell, vm) -> onWorker(cell, vm).answerLost()),
   /** An endpoint takes requests in and never answers. */
--- a/masticspread-node/src/main/java/org/masticspread/node/trial/TrialHistory.java
+++ b/masticspread-node/src/main/java/org/masticspread/node/trial/TrialHistory.java
@@ -1,5 +1,6 @@
 package org.masticspread.node.trial;
 
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -25,6 +26,7 @@
   private final List<HistoryEvent> events = new ArrayList<>();
   private final Map<RequestKey, Payload> bodies = new LinkedHashMap<>();
   private final Map<String, ResultCode> answers = new LinkedHashMap<>();
+  private final Map<String, Instant> answeredAt = new LinkedHashMap<>();
   private final Map<String, JobSpec> accepted = new LinkedHashMap<>();
   private final Set<String> broken = new LinkedHashSet<>();
   private int sends;
@@ -44,6 +46,7 @@
 
   void answered(RequestSpec request, String send, Answer answer) {
     answers.put(send, answer.code());
+    answeredAt.put(send, time.instant());
     events.add(
         new HistoryEvent.RequestAnswered(
             request.key(), send, answer.code(), answer.body(), time.instant()));
@@ -81,8 +84,8 @@
     return answers.get(send);
   }
 
-  int unanswered() {
-    return sends - answers.size();
+  Instant answeredAt(String send) {
+    return answeredAt.get(send);
   }
 
   /** Counts the sendings that were told a code. */
