--- a/masticspread-node/src/main/java/org/masticspread/node/launch/Node.java
+++ b/masticspread-node/src/main/java/org/masticspread/node/launch/Node.java
@@ -131,7 +131,7 @@
             RandomSource.XO_SHI_RO_256_PP.create(random.nextLong()),
             metrics,
             () -> events);
-    Authority authority = new SessionAuthority(self, state.session(), members);
+    Authority authority = new SessionAuthority(self, state::session, members);
     DecisionLog decisions = new DecisionLog(self, clock);
     ShardMap map = state.map();
     calls = new PeerCalls(self, (to, m, t) -> peers.call(to, m, t), (from, m) -> handle(from, m));
--- a/masticspread-node/src/main/java/org/masticspread/node/launch/NodeState.java
+++ b/masticspread-node/src/main/java/org/masticspread/node/launch/NodeState.java
@@ -53,12 +53,14 @@
   private final LongSupplier nanos;
   private final UniformRandomProvider random;
   private final ShardMap map;
-  private final SessionKeeper session;
-  private final SessionWatcher watcher;
+  private final SessionTiming times;
   private final Supplier<? extends OwnershipListener> listener;
-  private volatile Durable durable;
+  private volatile Life life;
   private volatile boolean storeReached;
 
+  /** One life of this VM: its session, and what exists once the session is open. */
+  private record Life(SessionKeeper session, SessionWatcher watcher, Durable durable) {}
+
   /** What exists once the session is open. */
   private record Durable(Journal journal, ShardOwnership ownership) {}
 
@@ -78,9 +80,15 @@
     this.listener = listener;
     this.map = new ShardMap(settings.workShards());
     NodeSettings.Timing timing = settings.timing();
-    SessionTiming times =
-        new SessionTiming(timing.heartbeat(), timing.sessionTtl(), timing.skewMargin());
-    this.session =
+    this.times = new SessionTiming(timing.heartbeat(), timing.sessionTtl(), timing.skewMargin());
+    this.life = newLife();
+    metrics.gauge("journal.rows", () -> () -> rows(Journal::rowsWritten));
+    metrics.gauge("journal.bytes", () -> () -> rows(Journal::bytesWritten));
+    metrics.gauge("journal.pending", () -> () -> rows(j -> (long) j.pending()));
+  }
+
+  private Life newLife() {
+    SessionKeeper session =
         new SessionKeeper(
             platform.table(),
             times,
@@ -89,14 +97,12 @@
             settings.dataCentre(),
             UUID.randomUUID().toString(),
             nanos);
-    this.watcher = new SessionWatcher(platform.table(), times, session, nanos);
-    metrics.gauge("journal.rows", () -> () -> rows(Journal::rowsWritten));
-    metrics.gauge("journal.bytes", () -> () -> rows(Journal::bytesWritten));
-    metrics.gauge("journal.pending", () -> () -> rows(j -> (long) j.pending()));
+    SessionWatcher watcher = new SessionWatcher(platform.table(), times, session, nanos);
+    return new Life(session, watcher, null);
   }
 
   private long rows(ToLongFunction<Journal> count) {
-    Durable now = durable;
+    Durable now = life.durable();
     return now == null ? 0 : count.applyAsLong(now.journal());
   }
 
@@ -105,7 +111,7 @@
   }
 
   SessionKeeper session() {
-    return session;
+    return life.session();
   }
 
   TableService table() {
@@ -117,36 +123,20 @@
   }
 
   Optional<VmIncarnation> incarnation() {
+    SessionKeeper session = life.session();
     return session.state().map(s -> session.incarnation());
   }
 
   /** Renews the session; opens it first. */
   void heartbeat() {
-    if (durable == null) {
-      storeReached = open();
-      return;
-    }
-    storeReached = session.heartbeat();
+    Life now = life;
+    storeReached = now.durable() == null ? open(now) : now.session().heartbeat();
   }
 
-  private boolean open() {
+  private boolean open(Life now) {
     try {
-      VmIncarnation self = session.open();
-      ShardStates states = new ShardStates();
-      Journal journal =
-          new Journal(
-              platform.table(), self, JournalSettings.DEFAULT, states, clock, nanos, random);
-      ShardOwnership ownership =
-          new ShardOwnership(
-              platform.table(),
-              platform.objects(),
-              session,
-              journal,
-              states,
-              map,
-              listener.get(),
-              ownershipSettings());
-      durable = new Durable(journal, ownership);
+      VmIncarnation self = now.session().open();
+      life = new Life(now.session(), now.watcher(), durable(now.session(), self));
       return true;
     } catch (MasticspreadException e) {
       LOG.atWarning().log("session: not open yet: %s", e.getMessage());
@@ -154,6 +144,23 @@
     }
   }
 
+  private Durable durable(SessionKeeper session, VmIncarnation self) {
+    ShardStates states = new ShardStates();
+    Journal journal =
+        new Journal(platform.table(), self, JournalSettings.DEFAULT, states, clock, nanos, random);
+    ShardOwnership ownership =
+        new ShardOwnership(
+            platform.table(),
+            platform.objects(),
+            session,
+            journal,
+            states,
+            map,
+            listener.get(),
+            ownershipSettings());
+    return new Durable(journal, ownership);
+  }
+
   private OwnershipSettings ownershipSettings() {
     NodeSettings.Timing timing = settings.timing();
     Retention retention =
@@ -169,22 +176,36 @@
 
   /** Fences stale sessions, then claims and hands over shards. */
   void own(Members members, Collection<RackId> racks) {
-    Durable now = durable;
-    if (now == null) {
+    Life now = life;
+    if (now.durable() == null) {
       return;
     }
     try {
-      SessionView view = watcher.tick();
+      SessionView view = now.watcher().tick();
       Set<VmId> eligible = view.openVms();
       eligible.removeIf(members::isLeaving);
-      now.ownership().tick(view, eligible, racks);
+      now.durable().ownership().tick(view, eligible, racks);
     } catch (MasticspreadException e) {
       LOG.atWarning().log("ownership: no tick: %s", e.getMessage());
     }
+    beginAgain(now);
+  }
+
+  /** Begins a new life after the session was fenced, once nothing of the old one is left. */
+  private void beginAgain(Life old) {
+    Durable durable = old.durable();
+    boolean over =
+        old.session().isFenced()
+            && durable.ownership().held().isEmpty()
+            && durable.journal().pending() == 0;
+    if (over) {
+      LOG.atWarning().log("session: %s was fenced; a new life begins", incarnation().orElse(null));
+      life = newLife();
+    }
   }
 
   CompletionStage<Void> append(ShardId shard, long epoch, JournalRecord record, Instant until) {
-    Durable now = durable;
+    Durable now = life.durable();
     if (now == null) {
       return CompletableFuture.failedFuture(
           new MasticspreadException(ResultCode.NOT_OWNER, "no session is open here"));
@@ -193,14 +214,14 @@
   }
 
   void flush() {
-    Durable now = durable;
+    Durable now = life.durable();
     if (now != null) {
       now.journal().flush();
     }
   }
 
   void withdrawExpired() {
-    Durable now = durable;
+    Durable now = life.durable();
     if (now != null) {
       now.journal().withdrawExpired();
     }
@@ -211,13 +232,13 @@
   }
 
   Map<ShardId, Long> held() {
-    Durable now = durable;
+    Durable now = life.durable();
     return now == null ? Map.of() : now.ownership().held();
   }
 
   /** Goes on with the release of all shards; returns whether none is left. */
   boolean handOver() {
-    Durable now = durable;
+    Durable now = life.durable();
     if (now == null) {
       return true;
     }
@@ -227,7 +248,8 @@
 
   /** Ends the session, so that no peer has to wait for its TTL. */
   void close() {
-    if (durable != null && !session.close()) {
+    Life now = life;
+    if (now.durable() != null && !now.session().close()) {
       LOG.atWarning().log("session: not closed; peers fence it after its TTL");
     }
   }
--- a/masticspread-node/src/main/java/org/masticspread/node/launch/SessionAuthority.java
+++ b/masticspread-node/src/main/java/org/masticspread/node/launch/SessionAuthority.java
@@ -1,5 +1,6 @@
 package org.masticspread.node.launch;
 
+import java.util.function.Supplier;
 import org.masticspread.model.id.VmId;
 import org.masticspread.model.peer.Digest;
 import org.masticspread.node.member.Authority;
@@ -13,26 +14,26 @@
  */
 final class SessionAuthority implements Authority {
   private final VmId self;
-  private final SessionKeeper session;
+  private final Supplier<SessionKeeper> sessions;
   private final Members members;
 
-  SessionAuthority(VmId self, SessionKeeper session, Members members) {
+  SessionAuthority(VmId self, Supplier<SessionKeeper> sessions, Members members) {
     this.self = self;
-    this.session = session;
+    this.sessions = sessions;
     this.members = members;
   }
 
   @Override
   public boolean mayAct() {
+    SessionKeeper session = sessions.get();
     if (session.isFenced()) {
       return false;
     }
-    return session.isHeld() || isStoreDownForAll();
+    return session.isHeld() || (session.state().isPresent() && isStoreDownForAll());
   }
 
   private boolean isStoreDownForAll() {
-    return session.state().isPresent()
-        && members.hearsHalf()
+    return members.hearsHalf()
         && members.fresh().stream().filter(this::isPeer).noneMatch(Digest::storeReached);
   }
 
