--- a/masticspread-ctl/src/test/java/org/masticspread/ctl/measure/request/FloodMeasureTest.java
+++ b/masticspread-ctl/src/test/java/org/masticspread/ctl/measure/request/FloodMeasureTest.java
@@ -7,7 +7,6 @@
 import java.util.List;
 import java.util.function.Predicate;
 import java.util.function.ToDoubleFunction;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -46,18 +45,9 @@
     assertThat(met).hasSizeGreaterThan(100).allMatch(row -> row.deadlinesMet() >= 0.99);
   }
 
-  @Test
-  void should_keep_the_urgent_wait_of_kitami_within_1_2_times_that_without_a_flood() {
-    assertUrgentWaits("kitami");
-  }
-
-  @Test
-  @Tag("known-red")
-  void should_keep_the_urgent_wait_of_mtkvari_within_1_2_times_that_without_a_flood() {
-    assertUrgentWaits("mtkvari");
-  }
-
-  private static void assertUrgentWaits(String deployment) {
+  @ParameterizedTest
+  @ValueSource(strings = {"kitami", "mtkvari"})
+  void should_keep_the_urgent_wait_within_1_2_times_that_without_a_flood(String deployment) {
     // GIVEN
     List<RequestRow> urgent =
         ours(row -> row.deployment().equals(deployment) && URGENT.contains(row.workClass()));
