--- a/masticspread-ctl/src/main/java/org/masticspread/ctl/measure/cell/RecoveryRow.java
+++ b/masticspread-ctl/src/main/java/org/masticspread/ctl/measure/cell/RecoveryRow.java
@@ -7,8 +7,8 @@
  * @param fault the fault
  * @param servingAgainMs virtual milliseconds from the fault until each work shard had answered a
  *     request sent after it; -1 when one never did
- * @param firstRestartMs virtual milliseconds from the fault until the first start of a task by a new
- *     owner of its work shard; -1 when none moved
+ * @param firstRestartMs virtual milliseconds from the fault until the first start of a task by a
+ *     new owner of its work shard; -1 when none moved
  * @param lost accepted jobs that did not end well
  * @param doubled promises of at most once or of one place at a time that were broken
  */
--- a/masticspread-ctl/src/test/java/org/masticspread/ctl/measure/cell/CellMeasuresTest.java
+++ b/masticspread-ctl/src/test/java/org/masticspread/ctl/measure/cell/CellMeasuresTest.java
@@ -14,8 +14,12 @@
 
   @ParameterizedTest
   @CsvSource({
-    "3, VM_KILLED", "3, VM_PAUSED", "3, VM_RESTARTED", "3, VM_STOPPED",
-    "9, VM_KILLED", "9, VM_RESTARTED"
+    "3, VM_KILLED",
+    "3, VM_PAUSED",
+    "3, VM_RESTARTED",
+    "3, VM_STOPPED",
+    "9, VM_KILLED",
+    "9, VM_RESTARTED"
   })
   void should_serve_again_within_ten_seconds_and_lose_nothing(int vms, TrialFault fault) {
     // WHEN
--- a/masticspread-node/src/main/java/org/masticspread/node/job/GangRuns.java
+++ b/masticspread-node/src/main/java/org/masticspread/node/job/GangRuns.java
@@ -260,6 +260,7 @@
           shard.state().taskNotUnderWay(key(index), attempt);
         }
         case UNKNOWN -> LOG.atFine().log("jobs: start of %s is unknown", key(index));
+        default -> throw new IllegalStateException("no such outcome: " + placed.outcome());
       }
     }
 
--- a/masticspread-node/src/main/java/org/masticspread/node/job/TaskDispatch.java
+++ b/masticspread-node/src/main/java/org/masticspread/node/job/TaskDispatch.java
@@ -166,6 +166,7 @@
       }
       case NO_ROOM, STALE -> notStarted(shard, task, outcome);
       case UNKNOWN -> context.queue().putBack(task, outcome);
+      default -> throw new IllegalStateException("no such outcome: " + outcome);
     }
   }
 
--- a/masticspread-node/src/main/java/org/masticspread/node/launch/Node.java
+++ b/masticspread-node/src/main/java/org/masticspread/node/launch/Node.java
@@ -131,9 +131,9 @@
             RandomSource.XO_SHI_RO_256_PP.create(random.nextLong()),
             metrics,
             () -> events);
-    Authority authority = new SessionAuthority(self, state.session(), members);
-    DecisionLog decisions = new DecisionLog(self, clock);
-    ShardMap map = state.map();
+    final Authority authority = new SessionAuthority(self, state.session(), members);
+    final DecisionLog decisions = new DecisionLog(self, clock);
+    final ShardMap map = state.map();
     calls = new PeerCalls(self, (to, m, t) -> peers.call(to, m, t), (from, m) -> handle(from, m));
     config = new NodeConfig(new ConfigLog(state.table(), clock, () -> UUID.randomUUID() + ""));
     RequestScheduler scheduler = RequestScheduler.clockedBy(clock).seededBy(random.nextLong());
@@ -147,7 +147,7 @@
             decisions,
             new RepeatBudget(REPEAT_PART, MOST_REPEATS),
             this::choose);
-    ShardCalls shardCalls = new ShardCalls(members, calls, clock, threads.timers());
+    final ShardCalls shardCalls = new ShardCalls(members, calls, clock, threads.timers());
     RackTimes rackTimes = new RackTimes(timing.workerLease(), timing.skewMargin(), PLACE_WINDOW);
     racks =
         new RackOwner(
--- a/masticspread-node/src/main/java/org/masticspread/node/rack/LeaseRenewal.java
+++ b/masticspread-node/src/main/java/org/masticspread/node/rack/LeaseRenewal.java
@@ -61,17 +61,6 @@
         .forEach(o -> WorkerOrders.send(workers, o.worker(), rack.epoch(), o.task(), o.order()));
   }
 
-  private void contactAlone(RackShard rack, WorkerId worker, WorkerLink link) {
-    if (!link.enter()) {
-      return;
-    }
-    try {
-      contact(rack, worker, link);
-    } finally {
-      link.leave();
-    }
-  }
-
   private void contact(RackShard rack, WorkerId worker, WorkerLink link) {
     try {
       if (link.needsSeal()) {
@@ -86,6 +75,17 @@
     }
   }
 
+  private void contactAlone(RackShard rack, WorkerId worker, WorkerLink link) {
+    if (!link.enter()) {
+      return;
+    }
+    try {
+      contact(rack, worker, link);
+    } finally {
+      link.leave();
+    }
+  }
+
   private void seal(RackShard rack, WorkerId worker, WorkerLink link) throws WorkerException {
     WorkerReport report = workers.seal(worker, rack.epoch());
     Map<TaskAttempt, ShardId> shards = rack.shardsOfBooked();
@@ -98,7 +98,7 @@
   private void renew(RackShard rack, WorkerId worker, WorkerLink link) throws WorkerException {
     Instant leaseUntil = clock.instant().plus(times.lease());
     Mark mark = rack.ledger().mark();
-    Map<TaskAttempt, ShardId> shards = rack.shardsOfBooked();
+    final Map<TaskAttempt, ShardId> shards = rack.shardsOfBooked();
     List<TaskAttempt> acknowledged = link.acknowledged();
     link.granting(leaseUntil.plus(times.skewMargin()));
     WorkerReport report = workers.renew(worker, rack.epoch(), leaseUntil, acknowledged);
--- a/masticspread-node/src/main/java/org/masticspread/node/rack/RackOwner.java
+++ b/masticspread-node/src/main/java/org/masticspread/node/rack/RackOwner.java
@@ -109,6 +109,18 @@
     Optional.ofNullable(racks.get(shard.rackId())).ifPresent(RackShard::close);
   }
 
+  /**
+   * Gives a reservation of a gang back.
+   *
+   * @param message the gang
+   * @return OK, or that the rack is not owned here
+   */
+  public Acknowledged release(ReleaseGang message) {
+    Optional<RackShard> rack = owned(message.rack());
+    rack.ifPresent(r -> r.ledger().release(message.job(), message.attempt()));
+    return new Acknowledged(rack.isPresent() ? ResultCode.OK : ResultCode.NOT_OWNER);
+  }
+
   /**
    * Stops owning a rack.
    *
@@ -176,18 +188,6 @@
     return new GangReserved(reserved);
   }
 
-  /**
-   * Gives a reservation of a gang back.
-   *
-   * @param message the gang
-   * @return OK, or that the rack is not owned here
-   */
-  public Acknowledged release(ReleaseGang message) {
-    Optional<RackShard> rack = owned(message.rack());
-    rack.ifPresent(r -> r.ledger().release(message.job(), message.attempt()));
-    return new Acknowledged(rack.isPresent() ? ResultCode.OK : ResultCode.NOT_OWNER);
-  }
-
   /**
    * Stops tasks.
    *
--- a/masticspread-node/src/main/java/org/masticspread/node/request/EndpointHome.java
+++ b/masticspread-node/src/main/java/org/masticspread/node/request/EndpointHome.java
@@ -85,7 +85,7 @@
    * @return endpoints that were not homed here before
    */
   public List<EndpointConfig> configure(Configuration configuration, List<EndpointConfig> own) {
-    Set<EndpointId> before = homed;
+    final Set<EndpointId> before = homed;
     conclude(scheduler.configure(configuration, own));
     homed = own.stream().map(EndpointConfig::name).collect(Collectors.toSet());
     pump();
@@ -222,21 +222,21 @@
   }
 
   /**
-   * Returns the load of the homed endpoints.
+   * Counts the requests that wait or are in flight here.
    *
-   * @return the load
+   * @return the number of requests
    */
-  public HomeDigest digest() {
-    return scheduler.digest();
+  public int inFlight() {
+    return waiting.size();
   }
 
   /**
-   * Counts the requests that wait or are in flight here.
+   * Returns the load of the homed endpoints.
    *
-   * @return the number of requests
+   * @return the load
    */
-  public int inFlight() {
-    return waiting.size();
+  public HomeDigest digest() {
+    return scheduler.digest();
   }
 
   /**
--- a/masticspread-node/src/main/java/org/masticspread/node/trial/TrialFault.java
+++ b/masticspread-node/src/main/java/org/masticspread/node/trial/TrialFault.java
@@ -18,20 +18,15 @@
   /** A VM is stopped in order. */
   VM_STOPPED(TrialCell::stop),
   /** The table service and the object store can't be reached. */
-  STORE_DOWN(
-      (cell, vm) -> {
-        window(cell, "table", Times.LONG).down();
-        window(cell, "objects", Times.LONG).down();
-      }),
+  STORE_DOWN(TrialFault::storeDown),
   /** A part of the calls to the table service take more than a second. */
-  STORE_SLOW((cell, vm) -> window(cell, "table", Times.SHORT).withChance(0.1).slow(Times.SLOW)),
+  STORE_SLOW(TrialFault::storeSlow),
   /** A part of the commits take effect and their answers are lost. */
-  STORE_ANSWER_LOST(
-      (cell, vm) -> window(cell, "table.commit", Times.SHORT).withChance(0.3).answerLost()),
+  STORE_ANSWER_LOST(TrialFault::storeAnswerLost),
   /** A part of the calls to the table service fail without effect, which callers can't know. */
-  STORE_ERROR((cell, vm) -> window(cell, "table", Times.SHORT).withChance(0.3).errorBeforeEffect()),
+  STORE_ERROR(TrialFault::storeError),
   /** The membership list shows what was true long ago. */
-  MEMBERSHIP_STALE((cell, vm) -> window(cell, "membership.read", Times.LONG).stale(Times.LONG)),
+  MEMBERSHIP_STALE(TrialFault::membershipStale),
   /** A VM can't open connections to one peer, nor the peer to it. */
   LINK_CUT((cell, vm) -> pair(cell, vm, LinkFault.CUT)),
   /** Messages between a VM and one peer vanish. */
@@ -45,14 +40,9 @@
   /** Answers to and from a VM vanish. */
   MESSAGE_ANSWER_LOST((cell, vm) -> all(cell, vm, LinkFault.ANSWER_LOST)),
   /** A worker dies and comes back empty. */
-  WORKER_KILLED(
-      (cell, vm) -> {
-        WorkerId worker = WorkerId.of("worker-" + vm);
-        cell.platform().workers().kill(worker);
-        cell.later(Times.LONG, () -> cell.platform().workers().revive(worker));
-      }),
+  WORKER_KILLED(TrialFault::workerKilled),
   /** A worker can't be reached while its tasks go on. */
-  WORKER_UNREACHABLE((cell, vm) -> onWorker(cell, vm).down()),
+  WORKER_UNREACHABLE(TrialFault::workerUnreachable),
   /** A worker obeys and its answers are lost. */
   WORKER_ANSWER_LOST((cell, vm) -> onWorker(cell, vm).answerLost()),
   /** An endpoint takes requests in and never answers. */
@@ -62,17 +52,9 @@
   /** An endpoint answers with the answers of others. */
   ENDPOINT_FOREIGN((cell, vm) -> onEndpoint(cell, vm).foreign()),
   /** An endpoint has fewer free slots than it was configured with. */
-  ENDPOINT_BUSY(
-      (cell, vm) -> {
-        EndpointId endpoint = EndpointId.of("endpoint-" + vm);
-        cell.platform().endpoints().add(endpoint, new ExecutorSpec(1, 32, 1));
-        cell.later(
-            Times.SHORT,
-            () -> cell.platform().endpoints().add(endpoint, new ExecutorSpec(4, 32, 1)));
-      }),
+  ENDPOINT_BUSY(TrialFault::endpointBusy),
   /** An endpoint is marked as leaving. */
-  ENDPOINT_LEAVING(
-      (cell, vm) -> cell.platform().membership().leave(EndpointId.of("endpoint-" + vm)));
+  ENDPOINT_LEAVING(TrialFault::endpointLeaving);
 
   /** How long faults last; the longer ones go past the TTL of sessions and the lease of tasks. */
   private static final class Times {
@@ -145,4 +127,46 @@
       }
     }
   }
+
+  private static void storeDown(TrialCell cell, int vm) {
+    window(cell, "table", Times.LONG).down();
+    window(cell, "objects", Times.LONG).down();
+  }
+
+  private static void workerKilled(TrialCell cell, int vm) {
+    WorkerId worker = WorkerId.of("worker-" + vm);
+    cell.platform().workers().kill(worker);
+    cell.later(Times.LONG, () -> cell.platform().workers().revive(worker));
+  }
+
+  private static void endpointBusy(TrialCell cell, int vm) {
+    EndpointId endpoint = EndpointId.of("endpoint-" + vm);
+    cell.platform().endpoints().add(endpoint, new ExecutorSpec(1, 32, 1));
+    cell.later(
+        Times.SHORT, () -> cell.platform().endpoints().add(endpoint, new ExecutorSpec(4, 32, 1)));
+  }
+
+  private static void storeSlow(TrialCell cell, int vm) {
+    window(cell, "table", Times.SHORT).withChance(0.1).slow(Times.SLOW);
+  }
+
+  private static void storeAnswerLost(TrialCell cell, int vm) {
+    window(cell, "table.commit", Times.SHORT).withChance(0.3).answerLost();
+  }
+
+  private static void storeError(TrialCell cell, int vm) {
+    window(cell, "table", Times.SHORT).withChance(0.3).errorBeforeEffect();
+  }
+
+  private static void membershipStale(TrialCell cell, int vm) {
+    window(cell, "membership.read", Times.LONG).stale(Times.LONG);
+  }
+
+  private static void workerUnreachable(TrialCell cell, int vm) {
+    onWorker(cell, vm).down();
+  }
+
+  private static void endpointLeaving(TrialCell cell, int vm) {
+    cell.platform().membership().leave(EndpointId.of("endpoint-" + vm));
+  }
 }
--- a/masticspread-node/src/main/java/org/masticspread/node/trial/TrialHistory.java
+++ b/masticspread-node/src/main/java/org/masticspread/node/trial/TrialHistory.java
@@ -35,6 +35,11 @@
     this.time = time;
   }
 
+  void submitted(JobSpec job) {
+    events.add(
+        new HistoryEvent.JobSubmitted(job.key(), job.tasks(), job.idempotent(), time.instant()));
+  }
+
   /** Notes a sending and returns its name. */
   String sent(RequestSpec request) {
     String send = "send-" + ++sends;
@@ -55,11 +60,6 @@
     }
   }
 
-  void submitted(JobSpec job) {
-    events.add(
-        new HistoryEvent.JobSubmitted(job.key(), job.tasks(), job.idempotent(), time.instant()));
-  }
-
   void answered(JobSpec job, ResultCode code) {
     if (code == ResultCode.ACCEPTED || code == ResultCode.ALREADY_ACCEPTED) {
       accepted.put(job.key().toString(), job);
--- a/masticspread-node/src/test/java/org/masticspread/node/cell/StoreOutageTest.java
+++ b/masticspread-node/src/test/java/org/masticspread/node/cell/StoreOutageTest.java
@@ -58,7 +58,7 @@
     cell.restart(3);
     cell.advance(Duration.ofSeconds(3));
     String read = cell.send(3, TrialWork.read("read", cell.now()));
-    String order = cell.send(3, TrialWork.order("order", cell.now()));
+    final String order = cell.send(3, TrialWork.order("order", cell.now()));
     cell.advance(ANSWERED);
     // THEN
     assertThat(cell.inForce(3)).isEqualTo(cell.inForce(1));
