Node: guarded store calls, rejoin and repeats under test

Cause: calls to the store had no limits; a repeat, by its caller, of a request that was told not run met the memory of the first sending and became unknown. RejoinTest: a VM paused past its session owns shards again, once and twice; a repeat after 'not run' runs.

--- a/masticspread-node/src/main/java/org/masticspread/node/launch/NodeState.java
+++ b/masticspread-node/src/main/java/org/masticspread/node/launch/NodeState.java
@@ -20,11 +20,14 @@
 import org.masticspread.model.id.ShardId;
 import org.masticspread.model.id.VmId;
 import org.masticspread.model.id.VmIncarnation;
+import org.masticspread.model.platform.ObjectStore;
 import org.masticspread.model.platform.TableService;
 import org.masticspread.model.result.MasticspreadException;
 import org.masticspread.model.result.ResultCode;
 import org.masticspread.node.member.Members;
 import org.masticspread.node.settings.NodeSettings;
+import org.masticspread.state.guard.GuardSettings;
+import org.masticspread.state.guard.StoreGuard;
 import org.masticspread.state.journal.Journal;
 import org.masticspread.state.journal.JournalSettings;
 import org.masticspread.state.ownership.OwnershipListener;
@@ -54,6 +57,8 @@
   private final UniformRandomProvider random;
   private final ShardMap map;
   private final SessionTiming times;
+  private final TableService table;
+  private final ObjectStore objects;
   private final Supplier<? extends OwnershipListener> listener;
   private volatile Life life;
   private volatile boolean storeReached;
@@ -81,7 +86,12 @@
     this.map = new ShardMap(settings.workShards());
     NodeSettings.Timing timing = settings.timing();
     this.times = new SessionTiming(timing.heartbeat(), timing.sessionTtl(), timing.skewMargin());
+    StoreGuard guard = new StoreGuard(GuardSettings.DEFAULT, nanos, random);
+    this.table = guard.table(platform.table());
+    this.objects = guard.objects(platform.objects());
     this.life = newLife();
+    metrics.gauge("store.refused", () -> () -> guard.stats().refused());
+    metrics.gauge("store.failures", () -> () -> guard.stats().failures());
     metrics.gauge("journal.rows", () -> () -> rows(Journal::rowsWritten));
     metrics.gauge("journal.bytes", () -> () -> rows(Journal::bytesWritten));
     metrics.gauge("journal.pending", () -> () -> rows(j -> (long) j.pending()));
@@ -114,8 +124,9 @@
     return life.session();
   }
 
+  /** Returns the table service behind the limits of calls; sessions use the bare one. */
   TableService table() {
-    return platform.table();
+    return table;
   }
 
   boolean storeReached() {
@@ -147,17 +158,10 @@
   private Durable durable(SessionKeeper session, VmIncarnation self) {
     ShardStates states = new ShardStates();
     Journal journal =
-        new Journal(platform.table(), self, JournalSettings.DEFAULT, states, clock, nanos, random);
+        new Journal(table, self, JournalSettings.DEFAULT, states, clock, nanos, random);
     ShardOwnership ownership =
         new ShardOwnership(
-            platform.table(),
-            platform.objects(),
-            session,
-            journal,
-            states,
-            map,
-            listener.get(),
-            ownershipSettings());
+            table, objects, session, journal, states, map, listener.get(), ownershipSettings());
     return new Durable(journal, ownership);
   }
 
--- a/masticspread-node/src/main/java/org/masticspread/node/request/EndpointHome.java
+++ b/masticspread-node/src/main/java/org/masticspread/node/request/EndpointHome.java
@@ -49,11 +49,14 @@
   private final EndpointPort endpoints;
   private final InstantSource clock;
   private final Map<RequestKey, Waiting> waiting = new ConcurrentHashMap<>();
-  private final Map<RequestKey, Instant> seenOnce = new ConcurrentHashMap<>();
+  private final Set<Sent> seenOnce = ConcurrentHashMap.newKeySet();
   private final Meter dispatched;
   private final Meter broken;
   private volatile Set<EndpointId> homed = Set.of();
 
+  /** One sending of a request; a repeat by its caller has another answer-by instant. */
+  private record Sent(RequestKey key, Instant answerBy) {}
+
   /** A request here and the future of its answer. */
   private record Waiting(RequestSpec request, CompletableFuture<Answer> answer) {}
 
@@ -85,7 +88,7 @@
    * @return endpoints that were not homed here before
    */
   public List<EndpointConfig> configure(Configuration configuration, List<EndpointConfig> own) {
-    Set<EndpointId> before = homed;
+    final Set<EndpointId> before = homed;
     conclude(scheduler.configure(configuration, own));
     homed = own.stream().map(EndpointConfig::name).collect(Collectors.toSet());
     pump();
@@ -130,7 +133,8 @@
     if (earlier != null) {
       return repeat(request, earlier);
     }
-    if (!request.idempotent() && seenOnce.putIfAbsent(request.key(), request.answerBy()) != null) {
+    Sent sent = new Sent(request.key(), request.answerBy());
+    if (!request.idempotent() && !seenOnce.add(sent)) {
       deliver(Answer.of(request.key(), ResultCode.OUTCOME_UNKNOWN, "the same message came before"));
       return mine.answer();
     }
@@ -161,7 +165,7 @@
   /** Ends requests whose time is over and sends those that are due. */
   public void tick() {
     Instant now = clock.instant();
-    seenOnce.values().removeIf(now::isAfter);
+    seenOnce.removeIf(s -> now.isAfter(s.answerBy()));
     conclude(scheduler.expire());
     pump();
   }
@@ -222,21 +226,21 @@
   }
 
   /**
-   * Returns the load of the homed endpoints.
+   * Counts the requests that wait or are in flight here.
    *
-   * @return the load
+   * @return the number of requests
    */
-  public HomeDigest digest() {
-    return scheduler.digest();
+  public int inFlight() {
+    return waiting.size();
   }
 
   /**
-   * Counts the requests that wait or are in flight here.
+   * Returns the load of the homed endpoints.
    *
-   * @return the number of requests
+   * @return the load
    */
-  public int inFlight() {
-    return waiting.size();
+  public HomeDigest digest() {
+    return scheduler.digest();
   }
 
   /**
--- /dev/null
+++ b/masticspread-node/src/test/java/org/masticspread/node/cell/RejoinTest.java
@@ -0,0 +1,66 @@
+package org.masticspread.node.cell;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.time.Instant;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.masticspread.model.result.ResultCode;
+import org.masticspread.model.result.RunState;
+import org.masticspread.model.work.RequestSpec;
+import org.masticspread.node.trial.TrialCell;
+import org.masticspread.node.trial.TrialWork;
+
+class RejoinTest {
+  private static double shardsOwned(TrialCell cell, int vm) {
+    Object value = cell.node(vm).metrics().getGauges().get("shards.owned").getValue();
+    return ((Number) value).doubleValue();
+  }
+
+  @Nested
+  class BeginAgain {
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2})
+    void should_own_shards_again_after_a_pause_past_the_session(int pauses) {
+      // GIVEN
+      TrialCell cell = TrialCell.of(3, 5).warmUp();
+      // WHEN
+      for (int i = 0; i < pauses; i++) {
+        cell.pause(2, Duration.ofSeconds(20));
+        cell.advance(Duration.ofSeconds(60));
+      }
+      // THEN
+      assertThat(shardsOwned(cell, 2)).isPositive();
+      assertThat(cell.violations()).isEmpty();
+    }
+  }
+
+  @Nested
+  class Repeat {
+    @Test
+    void should_run_a_repeat_of_a_request_that_was_told_not_run() {
+      // GIVEN
+      TrialCell cell = TrialCell.of(3, 5).warmUp();
+      Instant start = cell.now();
+      cell.faults().on("endpoint.call").between(start, start.plusMillis(500)).down();
+      RequestSpec first = TrialWork.order("order-1", start);
+      final String refused = cell.send(1, first);
+      cell.advance(Duration.ofMillis(600));
+      // WHEN
+      RequestSpec repeat = TrialWork.order("order-1", cell.now());
+      String sent = cell.send(1, repeat);
+      cell.advance(Duration.ofSeconds(5));
+      // THEN
+      assertThat(cell.codeOf(refused)).hasValueSatisfying(RejoinTest::assertNotRun);
+      assertThat(cell.codeOf(sent)).contains(ResultCode.OK);
+      assertThat(cell.violations()).isEmpty();
+    }
+  }
+
+  private static void assertNotRun(ResultCode code) {
+    assertThat(code.runState()).isEqualTo(RunState.NOT_RUN);
+  }
+}
