--- a/masticspread-node/src/main/java/org/masticspread/node/job/TaskEnds.java
+++ b/masticspread-node/src/main/java/org/masticspread/node/job/TaskEnds.java
@@ -5,9 +5,11 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ConcurrentHashMap;
 import org.masticspread.model.id.JobKey;
 import org.masticspread.model.id.TaskKey;
 import org.masticspread.model.id.WorkerId;
@@ -34,6 +36,7 @@
   private final TaskStops stops;
   private final Meter ended;
   private final Meter requeued;
+  private final Map<TaskAttempt, CompletableFuture<Void>> writing = new ConcurrentHashMap<>();
 
   TaskEnds(JobContext context, TaskStops stops) {
     this.context = context;
@@ -72,13 +75,41 @@
             });
   }
 
-  /** Makes the end of one attempt durable. Completes at once when it is of no interest. */
+  /**
+   * Makes the end of one attempt durable. Completes at once when it is of no interest; an end that
+   * is told again while it is written is not written twice.
+   */
   CompletionStage<Void> end(JobShard shard, WorkerTask task, WorkerId worker) {
     Optional<JobView> job = shard.state().job(task.task().job());
     if (job.isEmpty() || isSettled(shard, task)) {
       return CompletableFuture.completedFuture(null);
     }
-    JobSpec spec = job.get().spec();
+    TaskAttempt attempt = new TaskAttempt(task.task(), task.attempt());
+    CompletableFuture<Void> mine = new CompletableFuture<>();
+    CompletableFuture<Void> earlier = writing.putIfAbsent(attempt, mine);
+    if (earlier != null) {
+      return earlier;
+    }
+    write(shard, job.get(), task, worker)
+        .whenComplete(
+            (done, thrown) -> {
+              writing.remove(attempt);
+              complete(mine, thrown);
+            });
+    return mine;
+  }
+
+  private static void complete(CompletableFuture<Void> stage, Throwable thrown) {
+    if (thrown == null) {
+      stage.complete(null);
+    } else {
+      stage.completeExceptionally(thrown);
+    }
+  }
+
+  private CompletionStage<Void> write(
+      JobShard shard, JobView job, WorkerTask task, WorkerId worker) {
+    JobSpec spec = job.spec();
     observe(spec, task, worker);
     Next next = next(shard, spec, task);
     Instant now = context.clock().instant();
@@ -88,7 +119,7 @@
     return context
         .journal()
         .append(shard.id(), shard.epoch(), record, now.plus(context.times().hold()))
-        .thenRun(() -> after(shard, job.get(), task, next));
+        .thenRun(() -> after(shard, job, task, next));
   }
 
   private static boolean isSettled(JobShard shard, WorkerTask task) {
