--- a/masticspread-ctl/src/main/java/org/masticspread/ctl/measure/slopes/MessageSlopes.java
+++ b/masticspread-ctl/src/main/java/org/masticspread/ctl/measure/slopes/MessageSlopes.java
@@ -43,8 +43,8 @@
     rows.addAll(
         both("Digest, 34 teams in each own rack", "rack", MessageSlopes::racks, RACK_COUNTS));
     rows.addAll(both("Digest, 1 own rack", "team", n -> digest(1, n, 0, 0), 1, 8, 17, 34));
-    rows.addAll(both("Digest, rack epochs only", "rack epoch", n -> digest(0, 0, n, 0), 8, 32, RACKS));
-    rows.addAll(both("Digest, work shards only", "work shard", n -> digest(0, 0, 0, n), 4, 8, 16));
+    rows.addAll(both("Digest, rack epochs", "rack epoch", n -> digest(0, 0, n, 0), 8, 32, RACKS));
+    rows.addAll(both("Digest, work shards", "work shard", n -> digest(0, 0, 0, n), 4, 8, 16));
     rows.addAll(both("PlaceTasks", "task", MessageSlopes::placeTasks, 1, 4, 16));
     rows.addAll(both("ReportTasks", "task", MessageSlopes::reportTasks, 1, 4, 16));
     rows.addAll(both("ShardsSealed", "task", MessageSlopes::sealed, 8, 64, 232));
