--- a/masticspread-node/src/test/java/org/masticspread/node/stop/GracefulStopTest.java
+++ b/masticspread-node/src/test/java/org/masticspread/node/stop/GracefulStopTest.java
@@ -45,13 +45,13 @@
     @Test
     void should_wait_for_what_is_in_flight_and_then_be_quiet_before_it_hands_over() {
       // GIVEN
-      boolean whileBusy = stepAt(0) || stepAt(5);
+      final boolean whileBusy = stepAt(0) || stepAt(5);
       node.inFlight = 0;
-      boolean whileQuiet = stepAt(6);
+      final boolean whileQuiet = stepAt(6);
       node.inFlight = 1;
-      boolean whileBusyAgain = stepAt(8);
+      final boolean whileBusyAgain = stepAt(8);
       node.inFlight = 0;
-      boolean whileQuietAgain = stepAt(9);
+      final boolean whileQuietAgain = stepAt(9);
       // THEN
       assertThat(whileBusy || whileQuiet || whileBusyAgain || whileQuietAgain).isFalse();
       assertThat(stepAt(10)).isTrue();
