Node: parts of large classes on their own; a shard about to move takes nothing new

A shard that was about to move still took requests that must run once, so under load it was idle only by chance: in the trial of a stop one shard left after 7 s and the last one when the load ended. A shard that became ready let jobs wait a second time that this owner had accepted itself. Change: JobRecovery, DigestSource, Listing, ReportCalls; WorkerTask.lapsed; a moving shard refuses with NOT_OWNER; only inherited jobs are resumed. RejoinTest.Stop (160 requests, all OK, stop within 7 s) passes with and without the change, so it proves the stop and not the cause; the trial is repeated below.

--- a/masticspread-model/src/main/java/org/masticspread/model/platform/WorkerTask.java
+++ b/masticspread-model/src/main/java/org/masticspread/model/platform/WorkerTask.java
@@ -27,4 +27,24 @@
     ResourceVector usage,
     Duration ranFor,
     boolean throttled,
-    boolean checkpointed) {}
+    boolean checkpointed) {
+  /**
+   * Returns an attempt that certainly runs no more, and whose worker did not tell how it ended.
+   *
+   * @param task the attempt
+   * @param workShard the shard that holds the job
+   * @return the task, with nothing known of its usage
+   */
+  public static WorkerTask lapsed(TaskAttempt task, ShardId workShard) {
+    return new WorkerTask(
+        task.task(),
+        task.attempt(),
+        workShard,
+        WorkerTaskPhase.LAPSED,
+        ResourceVector.ZERO,
+        ResourceVector.ZERO,
+        Duration.ZERO,
+        false,
+        false);
+  }
+}
--- a/masticspread-node/src/main/java/org/masticspread/node/job/JobContext.java
+++ b/masticspread-node/src/main/java/org/masticspread/node/job/JobContext.java
@@ -1,7 +1,12 @@
 package org.masticspread.node.job;
 
 import com.codahale.metrics.MetricRegistry;
+import com.google.common.flogger.FluentLogger;
 import java.time.InstantSource;
+import org.masticspread.model.id.TaskKey;
+import org.masticspread.model.work.JobView;
+import org.masticspread.model.work.TaskPhase;
+import org.masticspread.model.work.TaskView;
 import org.masticspread.node.explain.DecisionLog;
 import org.masticspread.node.member.Authority;
 import org.masticspread.node.member.Members;
@@ -9,6 +14,8 @@
 import org.masticspread.policy.estimate.Estimates;
 import org.masticspread.policy.health.TroubleDetector;
 import org.masticspread.policy.jobs.JobQueue;
+import org.masticspread.state.shard.Attempts;
+import org.masticspread.state.shard.JournalRecord;
 
 /**
  * What the parts of the work-shard owner share.
@@ -36,4 +43,28 @@
     Estimates estimates,
     TroubleDetector trouble,
     DecisionLog decisions,
-    MetricRegistry metrics) {}
+    MetricRegistry metrics) {
+  private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+
+  /** Lets the tasks of a job wait that neither run nor have ended. */
+  void enqueue(JobShard shard, JobView job) {
+    for (TaskView task : job.tasks()) {
+      TaskKey key = new TaskKey(job.spec().key(), task.index());
+      if (task.phase() == TaskPhase.WAITING && shard.placement(key).isEmpty()) {
+        int attempt = Attempts.next(shard.epoch(), task.attempt());
+        queue.add(job.spec(), job.acceptedAt(), task.index(), attempt);
+      }
+    }
+  }
+
+  /** Makes a change durable that no caller waits for. */
+  void append(JobShard shard, JournalRecord record) {
+    journal
+        .append(shard.id(), shard.epoch(), record, clock.instant().plus(times.hold()))
+        .exceptionally(
+            thrown -> {
+              LOG.atWarning().log("jobs: %s: %s", shard.id(), thrown.getMessage());
+              return null;
+            });
+  }
+}
--- a/masticspread-node/src/main/java/org/masticspread/node/job/JobShard.java
+++ b/masticspread-node/src/main/java/org/masticspread/node/job/JobShard.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
 import org.masticspread.model.id.JobKey;
 import org.masticspread.model.id.RackId;
 import org.masticspread.model.id.ShardId;
@@ -33,6 +34,7 @@
   private final Map<TaskKey, Placement> placements = new HashMap<>();
   private final Map<RackId, Long> sealedRacks = new HashMap<>();
   private final Set<JobKey> restartingGangs = new HashSet<>();
+  private final Set<JobKey> inherited;
   private Recovery recovery = Recovery.SEALING;
   private Instant settledAt;
   private boolean releasing;
@@ -41,6 +43,8 @@
     this.id = id;
     this.epoch = epoch;
     this.state = state;
+    this.inherited =
+        state.activeJobs().stream().map(j -> j.spec().key()).collect(Collectors.toSet());
   }
 
   ShardId id() {
@@ -55,6 +59,11 @@
     return state;
   }
 
+  /** Tells whether a job was accepted by a former owner. */
+  boolean isInherited(JobKey job) {
+    return inherited.contains(job);
+  }
+
   /** Marks the shard as about to move; returns whether it was not marked before. */
   synchronized boolean release() {
     boolean first = !releasing;
--- a/masticspread-node/src/main/java/org/masticspread/node/job/JobShards.java
+++ b/masticspread-node/src/main/java/org/masticspread/node/job/JobShards.java
@@ -1,11 +1,9 @@
 package org.masticspread.node.job;
 
 import com.google.common.flogger.FluentLogger;
-import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -15,9 +13,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.stream.Collectors;
 import org.masticspread.model.config.Configuration;
-import org.masticspread.model.config.WorkerConfig;
 import org.masticspread.model.id.JobKey;
-import org.masticspread.model.id.RackId;
 import org.masticspread.model.id.ShardId;
 import org.masticspread.model.id.TaskKey;
 import org.masticspread.model.id.TeamId;
@@ -29,12 +25,7 @@
 import org.masticspread.model.peer.ReportTasks;
 import org.masticspread.model.peer.SubmitJob;
 import org.masticspread.model.peer.TasksAcknowledged;
-import org.masticspread.model.platform.WorkerTask;
-import org.masticspread.model.platform.WorkerTaskPhase;
-import org.masticspread.model.resource.ResourceVector;
 import org.masticspread.model.result.ResultCode;
-import org.masticspread.model.work.JobKind;
-import org.masticspread.model.work.JobPhase;
 import org.masticspread.model.work.JobSpec;
 import org.masticspread.model.work.JobView;
 import org.masticspread.model.work.TaskPhase;
@@ -42,7 +33,6 @@
 import org.masticspread.node.explain.DecisionLog;
 import org.masticspread.policy.placement.FitCheck;
 import org.masticspread.state.ownership.ShardMap;
-import org.masticspread.state.shard.Attempts;
 import org.masticspread.state.shard.JobBegin;
 import org.masticspread.state.shard.JournalRecord;
 import org.masticspread.state.shard.WorkShardState;
@@ -64,7 +54,7 @@
   private final TaskEnds ends;
   private final GangRuns gangs;
   private final TaskDispatch dispatch;
-  private final RackSeals seals;
+  private final JobRecovery recovery;
   private volatile Configuration configuration = Configuration.EMPTY;
 
   /**
@@ -80,7 +70,7 @@
     this.ends = new TaskEnds(context, stops);
     this.gangs = new GangRuns(context, stops);
     this.dispatch = new TaskDispatch(context, this::shardOf, gangs);
-    this.seals = new RackSeals(context, this::lostTask);
+    this.recovery = new JobRecovery(context, ends, stops);
   }
 
   /**
@@ -93,13 +83,15 @@
   public record Owned(ShardId shard, long epoch, WorkShardState state) {}
 
   /**
-   * Finds an owned shard.
+   * Finds an owned shard that takes new work.
    *
    * @param shard the shard
-   * @return the shard, or empty if it is not owned here
+   * @return the shard, or empty if it is not owned here or about to move
    */
   public Optional<Owned> owned(ShardId shard) {
-    return Optional.ofNullable(shards.get(shard)).map(s -> new Owned(s.id(), s.epoch(), s.state()));
+    return Optional.ofNullable(shards.get(shard))
+        .filter(s -> !s.isReleasing())
+        .map(s -> new Owned(s.id(), s.epoch(), s.state()));
   }
 
   private Optional<JobShard> shardOf(JobKey job) {
@@ -169,125 +161,7 @@
 
   /** Seals racks and goes on with the recovery of shards. */
   public void recover() {
-    seals.round(shards.values());
-    shards.values().forEach(this::stopUnwanted);
-    if (configuration.revision() == 0) {
-      return;
-    }
-    Instant now = context.clock().instant();
-    Set<RackId> racks =
-        configuration.workers().stream().map(WorkerConfig::rack).collect(Collectors.toSet());
-    for (JobShard shard : shards.values()) {
-      if (shard.isReleasing()) {
-        continue;
-      }
-      JobShard.Recovery before = shard.recovery();
-      JobShard.Recovery after = shard.advance(racks, now, now.plus(context.times().settle()));
-      if (after == JobShard.Recovery.READY && before != after) {
-        resume(shard);
-      }
-    }
-  }
-
-  /** Lets the tasks of former owners wait that do not run, and ends those whose fate is unknown. */
-  private void resume(JobShard shard) {
-    for (TaskKey task : shard.state().unresolvedTasks()) {
-      endUnresolved(shard, task);
-    }
-    for (JobView job : shard.state().activeJobs()) {
-      boolean waits = !shard.state().isCancelled(job.spec().key());
-      if (waits && job.phase() != JobPhase.PARKED) {
-        resume(shard, job);
-      }
-    }
-    LOG.atInfo().log("jobs: %s has recovered", shard.id());
-  }
-
-  /** A gang of which a part runs and a part waits is stopped, so that it starts again whole. */
-  private void resume(JobShard shard, JobView job) {
-    JobKey key = job.spec().key();
-    boolean partly =
-        job.spec().kind() == JobKind.GANG
-            && !shard.placementsOf(key).isEmpty()
-            && job.tasks().stream().anyMatch(t -> t.phase() == TaskPhase.WAITING);
-    if (partly) {
-      shard.startGangRestart(key);
-      return;
-    }
-    enqueue(shard, job);
-  }
-
-  /** Asks again for the stop of tasks that must not go on; an earlier order may be lost. */
-  private void stopUnwanted(JobShard shard) {
-    if (!context.authority().mayAct()) {
-      return;
-    }
-    Map<TaskKey, Placement> unwanted = new HashMap<>();
-    shard
-        .placements()
-        .forEach(
-            (task, placement) -> {
-              JobKey job = task.job();
-              if (shard.state().isCancelled(job) || shard.isGangRestarting(job)) {
-                unwanted.put(task, placement);
-              }
-            });
-    stops.stop(shard, unwanted);
-  }
-
-  private void endUnresolved(JobShard shard, TaskKey task) {
-    int attempt = shard.state().task(task).map(TaskView::attempt).orElse(Attempts.NONE);
-    append(
-        shard,
-        new JournalRecord.TaskEnded(
-            task,
-            attempt,
-            TaskPhase.UNKNOWN,
-            null,
-            "its start was marked and no rack knows it",
-            context.clock().instant()));
-  }
-
-  private void append(JobShard shard, JournalRecord record) {
-    Instant until = context.clock().instant().plus(context.times().hold());
-    context
-        .journal()
-        .append(shard.id(), shard.epoch(), record, until)
-        .exceptionally(
-            thrown -> {
-              LOG.atWarning().log("jobs: %s: %s", shard.id(), thrown.getMessage());
-              return null;
-            });
-  }
-
-  private void enqueue(JobShard shard, JobView job) {
-    for (TaskView task : job.tasks()) {
-      TaskKey key = new TaskKey(job.spec().key(), task.index());
-      if (task.phase() == TaskPhase.WAITING && shard.placement(key).isEmpty()) {
-        int attempt = Attempts.next(shard.epoch(), task.attempt());
-        context.queue().add(job.spec(), job.acceptedAt(), task.index(), attempt);
-      }
-    }
-  }
-
-  private void lostTask(JobShard shard, Map.Entry<TaskKey, Placement> entry) {
-    WorkerTask lapsed =
-        new WorkerTask(
-            entry.getKey(),
-            entry.getValue().attempt(),
-            shard.id(),
-            WorkerTaskPhase.LAPSED,
-            ResourceVector.ZERO,
-            ResourceVector.ZERO,
-            Duration.ZERO,
-            false,
-            false);
-    ends.end(shard, lapsed, entry.getValue().worker())
-        .exceptionally(
-            thrown -> {
-              LOG.atWarning().log("jobs: %s: %s", entry.getKey(), thrown.getMessage());
-              return null;
-            });
+    recovery.round(shards.values(), configuration);
   }
 
   /**
@@ -327,7 +201,7 @@
   private JobAnswered accepted(JobShard shard, JobSpec spec, Throwable thrown) {
     if (thrown == null) {
       JobView job = shard.state().job(spec.key()).orElseThrow();
-      enqueue(shard, job);
+      context.enqueue(shard, job);
       context.decisions().add(DecisionLog.subject(spec.key()), "accepted", "durable");
       return new JobAnswered(ResultCode.ACCEPTED, job, "");
     }
@@ -451,7 +325,7 @@
   /** Forgets records past their retention. */
   public void forget() {
     for (JobShard shard : shards.values()) {
-      shard.state().dueExpiry(context.clock().instant()).ifPresent(r -> append(shard, r));
+      shard.state().dueExpiry(context.clock().instant()).ifPresent(r -> context.append(shard, r));
     }
   }
 
--- a/masticspread-node/src/main/java/org/masticspread/node/launch/Node.java
+++ b/masticspread-node/src/main/java/org/masticspread/node/launch/Node.java
@@ -4,9 +4,7 @@
 import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
 import java.time.InstantSource;
-import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -18,21 +16,12 @@
 import org.apache.commons.rng.simple.RandomSource;
 import org.masticspread.model.config.Configuration;
 import org.masticspread.model.id.RackId;
-import org.masticspread.model.id.ShardKind;
 import org.masticspread.model.id.VmId;
-import org.masticspread.model.id.VmIncarnation;
-import org.masticspread.model.peer.Digest;
 import org.masticspread.model.peer.PeerException;
 import org.masticspread.model.peer.PeerHandler;
 import org.masticspread.model.peer.PeerMessage;
 import org.masticspread.model.peer.PeerPort;
-import org.masticspread.model.peer.ReportTasks;
-import org.masticspread.model.peer.ShardEpoch;
-import org.masticspread.model.peer.TasksAcknowledged;
 import org.masticspread.model.platform.Member;
-import org.masticspread.model.platform.MembershipView;
-import org.masticspread.model.platform.TaskAttempt;
-import org.masticspread.model.result.MasticspreadException;
 import org.masticspread.node.api.ApiRoutes;
 import org.masticspread.node.api.JobService;
 import org.masticspread.node.api.RequestService;
@@ -50,6 +39,7 @@
 import org.masticspread.node.member.ShardCalls;
 import org.masticspread.node.rack.RackOwner;
 import org.masticspread.node.rack.RackTimes;
+import org.masticspread.node.rack.ReportCalls;
 import org.masticspread.node.request.AtMostOnce;
 import org.masticspread.node.request.EndpointHome;
 import org.masticspread.node.request.HomeCalls;
@@ -93,6 +83,7 @@
   private final MetricRegistry metrics = new MetricRegistry();
   private final UniformRandomProvider random;
   private final Members members;
+  private final Listing listing;
   private final NodeState state;
   private final NodeConfig config;
   private final EndpointHome home;
@@ -122,6 +113,7 @@
     NodeSettings.Timing timing = settings.timing();
     VmId self = settings.vm();
     members = new Members(self, threads.nanos(), timing.gossip().multipliedBy(4));
+    listing = new Listing(platform.membership(), members, this::member);
     state =
         new NodeState(
             settings,
@@ -157,7 +149,7 @@
             platform.workers(),
             authority,
             members,
-            this::report,
+            new ReportCalls(members, calls, PLACE_TIMEOUT),
             threads.blocking());
     Estimates estimates = new Estimates();
     JobContext context =
@@ -185,7 +177,9 @@
     requests = new RequestGate(homes, shardCalls, map, metrics);
     jobGate = new JobGate(self, shardCalls, calls, members, map, clock);
     status = new NodeStatus(self, members, calls, config, this::isReady, settings.workShards());
-    gossip = new Gossip(members, calls, this::digest, timing.gossip().multipliedBy(2), metrics);
+    DigestSource digests =
+        new DigestSource(self, state, config, home, racks, members, () -> stopping);
+    gossip = new Gossip(members, calls, digests, timing.gossip().multipliedBy(2), metrics);
     handler =
         new PeerDispatch(
             members, home, atMostOnce, jobs, racks, config, decisions, threads.blocking());
@@ -222,10 +216,10 @@
   /** Starts every loop. The session opens as soon as the store answers. */
   public void start() {
     NodeSettings.Timing timing = settings.timing();
-    membership();
+    listing.refresh();
     loops.every("session", timing.heartbeat(), state::heartbeat);
     loops.every("ownership", timing.heartbeat(), this::own);
-    loops.every("membership", SECOND, this::membership);
+    loops.every("membership", SECOND, listing::refresh);
     loops.every("journal", this::flushInterval, state::flush);
     loops.every("withdraw", WITHDRAW_TICK, state::withdrawExpired);
     loops.every("gossip", timing.gossip(), this::tell);
@@ -265,16 +259,6 @@
     return vms;
   }
 
-  private void membership() {
-    try {
-      platform.membership().register(member());
-      MembershipView view = platform.membership().read();
-      members.update(view);
-    } catch (MasticspreadException e) {
-      LOG.atWarning().log("member: the list did not answer: %s", e.getMessage());
-    }
-  }
-
   private Member member() {
     return new Member(settings.vm(), settings.dataCentre(), address, stopping);
   }
@@ -288,40 +272,6 @@
     return state.flushInterval(Math.max(1, members.staying().size()));
   }
 
-  private Digest digest() {
-    List<ShardEpoch> work = new ArrayList<>();
-    state
-        .held()
-        .forEach(
-            (shard, epoch) -> {
-              if (shard.kind() == ShardKind.WORK) {
-                work.add(new ShardEpoch(shard, epoch));
-              }
-            });
-    VmIncarnation self = state.incarnation().orElseGet(() -> new VmIncarnation(settings.vm(), 0));
-    return new Digest(
-        self,
-        config.inForce().revision(),
-        stopping,
-        state.storeReached(),
-        home.digest(),
-        racks.digests(),
-        work,
-        members.rackEpochs(),
-        new ArrayList<>(members.leavingListed()));
-  }
-
-  private CompletionStage<List<TaskAttempt>> report(ReportTasks report) {
-    Optional<VmId> owner = members.ownerOf(report.workShard());
-    if (owner.isEmpty()) {
-      return CompletableFuture.failedFuture(
-          new PeerException(false, "no owner of " + report.workShard(), null));
-    }
-    return calls
-        .call(owner.get(), report, TasksAcknowledged.class, PLACE_TIMEOUT)
-        .thenApply(TasksAcknowledged::tasks);
-  }
-
   private static CompletionStage<PeerMessage> unreachable(
       VmId to, PeerMessage message, Duration timeout) {
     return CompletableFuture.failedFuture(new PeerException(false, to + " is not connected", null));
@@ -420,7 +370,7 @@
   @Override
   public void leave() {
     stopping = true;
-    membership();
+    listing.refresh();
     gossip.tell();
   }
 
@@ -433,11 +383,7 @@
   public void close() {
     loops.close();
     state.close();
-    try {
-      platform.membership().deregister(settings.vm());
-    } catch (MasticspreadException e) {
-      LOG.atWarning().log("member: not taken off the list: %s", e.getMessage());
-    }
+    listing.end();
     threads.close();
     LOG.atInfo().log("node: %s stopped", settings.vm());
   }
--- a/masticspread-node/src/main/java/org/masticspread/node/rack/LeaseRenewal.java
+++ b/masticspread-node/src/main/java/org/masticspread/node/rack/LeaseRenewal.java
@@ -1,7 +1,6 @@
 package org.masticspread.node.rack;
 
 import com.google.common.flogger.FluentLogger;
-import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.ArrayList;
@@ -18,7 +17,6 @@
 import org.masticspread.model.platform.WorkerReport;
 import org.masticspread.model.platform.WorkerTask;
 import org.masticspread.model.platform.WorkerTaskPhase;
-import org.masticspread.model.resource.ResourceVector;
 import org.masticspread.node.member.Members;
 import org.masticspread.policy.placement.Mark;
 import org.masticspread.policy.placement.Observation;
@@ -130,25 +128,12 @@
     for (TaskAttempt attempt : attempts) {
       ShardId shard = shards.get(attempt);
       if (shard != null) {
-        lost.add(lapsedTask(attempt, shard));
+        lost.add(WorkerTask.lapsed(attempt, shard));
       }
     }
     return lost;
   }
 
-  private static WorkerTask lapsedTask(TaskAttempt attempt, ShardId shard) {
-    return new WorkerTask(
-        attempt.task(),
-        attempt.attempt(),
-        shard,
-        WorkerTaskPhase.LAPSED,
-        ResourceVector.ZERO,
-        ResourceVector.ZERO,
-        Duration.ZERO,
-        false,
-        false);
-  }
-
   /** Tells shard owners of ended and lost tasks; an ended one is told until it is acknowledged. */
   private void tell(
       RackShard rack,
--- a/masticspread-node/src/test/java/org/masticspread/node/cell/RejoinTest.java
+++ b/masticspread-node/src/test/java/org/masticspread/node/cell/RejoinTest.java
@@ -25,6 +25,30 @@
     return IntStream.of(vms).mapToDouble(vm -> gauge(cell, vm, "home.slots")).sum();
   }
 
+  @Nested
+  class Stop {
+    @Test
+    void should_hand_over_while_requests_that_run_once_keep_coming() {
+      // GIVEN
+      TrialCell cell = TrialCell.of(3, 5).warmUp();
+      for (int i = 0; i < 160; i++) {
+        int number = i;
+        cell.later(
+            Duration.ofMillis(50L * i),
+            () -> cell.send(1 + 2 * (number % 2), TrialWork.order("order-" + number, cell.now())));
+      }
+      // WHEN
+      cell.later(Duration.ofSeconds(1), () -> cell.stop(2));
+      cell.advance(Duration.ofSeconds(8));
+      boolean stopped = cell.stoppedWhole(2);
+      cell.advance(Duration.ofSeconds(10));
+      // THEN
+      assertThat(stopped).isTrue();
+      assertThat(cell.answered(ResultCode.OK)).isEqualTo(160);
+      assertThat(cell.violations()).isEmpty();
+    }
+  }
+
   @Nested
   class Homes {
     @Test
