Graceful stop hands over while it goes on forwarding

Cause: the stop waited until no call was in flight for 1.5 s; a balancer that goes on sending keeps it from ever being so. Change: tell, hand over, then refuse new work as certainly not run, then wait for what is in flight.

--- a/masticspread-node/src/main/java/org/masticspread/node/job/JobGate.java
+++ b/masticspread-node/src/main/java/org/masticspread/node/job/JobGate.java
@@ -41,6 +41,7 @@
   private final Members members;
   private final ShardMap map;
   private final InstantSource clock;
+  private volatile boolean refusing;
 
   /**
    * Creates the gate.
@@ -67,8 +68,17 @@
     this.clock = clock;
   }
 
+  /** Refuses new jobs from now on, as certainly not accepted. */
+  public void refuse() {
+    refusing = true;
+  }
+
   @Override
   public CompletionStage<JobAnswered> submit(JobSpec job, Instant acceptBy) {
+    if (refusing) {
+      return CompletableFuture.completedFuture(
+          new JobAnswered(ResultCode.STOPPING, null, "this VM is stopping; ask another one"));
+    }
     ShardId shard = map.workShard(job.key());
     return call(shard, new SubmitJob(shard, job, acceptBy.minus(ANSWER_MARGIN)), acceptBy);
   }
--- a/masticspread-node/src/main/java/org/masticspread/node/launch/Node.java
+++ b/masticspread-node/src/main/java/org/masticspread/node/launch/Node.java
@@ -379,6 +379,12 @@
     return state.handOver();
   }
 
+  @Override
+  public void refuse() {
+    requests.refuse();
+    jobGate.refuse();
+  }
+
   @Override
   public void close() {
     loops.close();
--- a/masticspread-node/src/main/java/org/masticspread/node/launch/NodeProcess.java
+++ b/masticspread-node/src/main/java/org/masticspread/node/launch/NodeProcess.java
@@ -23,7 +23,7 @@
   private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
   private static final int EXIT_WORK_LEFT = 3;
   private static final Duration STOP_STEP = Duration.ofMillis(50);
-  private static final int QUIET_GOSSIPS = 3;
+  private static final int HEARING_GOSSIPS = 3;
 
   private final NodeSettings settings;
   private final InstantSource clock = InstantSource.system();
@@ -114,7 +114,7 @@
     NodeSettings.Timing timing = settings.timing();
     GracefulStop graceful =
         new GracefulStop(
-            node, clock, timing.stopWithin(), timing.gossip().multipliedBy(QUIET_GOSSIPS));
+            node, clock, timing.stopWithin(), timing.gossip().multipliedBy(HEARING_GOSSIPS));
     stopping.set(graceful);
     while (!graceful.step()) {
       TimeUnit.MILLISECONDS.sleep(STOP_STEP.toMillis());
--- a/masticspread-node/src/main/java/org/masticspread/node/request/RequestGate.java
+++ b/masticspread-node/src/main/java/org/masticspread/node/request/RequestGate.java
@@ -3,6 +3,7 @@
 import com.codahale.metrics.MetricRegistry;
 import com.codahale.metrics.Timer;
 import java.time.Instant;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.masticspread.model.id.ShardId;
@@ -29,6 +30,7 @@
   private final MetricRegistry metrics;
   private final Timer answered;
   private final AtomicInteger inFlight = new AtomicInteger();
+  private volatile boolean refusing;
 
   /**
    * Creates the gate.
@@ -48,6 +50,10 @@
 
   @Override
   public CompletionStage<Answer> run(RequestSpec request) {
+    if (refusing) {
+      return CompletableFuture.completedFuture(
+          Answer.of(request.key(), ResultCode.STOPPING, "this VM is stopping; ask another one"));
+    }
     inFlight.incrementAndGet();
     Timer.Context time = answered.time();
     CompletionStage<Answer> answer =
@@ -97,6 +103,11 @@
     return Answer.of(request.key(), code, e.getMessage());
   }
 
+  /** Refuses new requests from now on, as certainly not run. */
+  public void refuse() {
+    refusing = true;
+  }
+
   /**
    * Counts the requests in flight.
    *
--- a/masticspread-node/src/main/java/org/masticspread/node/stop/GracefulStop.java
+++ b/masticspread-node/src/main/java/org/masticspread/node/stop/GracefulStop.java
@@ -8,8 +8,9 @@
 import java.util.TreeMap;
 
 /**
- * Stops a node in steps without cutting off work: takes nothing new, lets what is in flight end,
- * hands over shards, and leaves. A second order or the bound ends it with what is left.
+ * Stops a node in steps without cutting off work: tells everyone, hands over shards while it goes
+ * on forwarding, refuses new work once they are gone, and lets what is in flight end. A second
+ * order or the bound ends it with what is left.
  *
  * <p>Example: {@code while (!stop.step()) pause();}. Thread-safe.
  */
@@ -34,22 +35,25 @@
      * @return whether nothing is left to hand over
      */
     boolean handOver();
+
+    /** Refuses new work of callers as certainly not run. */
+    void refuse();
   }
 
   private enum Phase {
     RUNNING,
-    DRAINING,
+    TELLING,
     HANDING_OVER,
+    REFUSING,
     DONE
   }
 
   private final Stoppable node;
   private final InstantSource clock;
   private final Duration bound;
-  private final Duration quiet;
+  private final Duration hearing;
   private Phase phase = Phase.RUNNING;
   private Instant startedAt;
-  private Instant idleSince;
   private boolean forced;
   private boolean whole = true;
 
@@ -59,13 +63,13 @@
    * @param node the node
    * @param clock the clock
    * @param bound the longest time to wait
-   * @param quiet how long nothing must be in flight, so that callers and peers have heard
+   * @param hearing how long peers may take to hear of the stop
    */
-  public GracefulStop(Stoppable node, InstantSource clock, Duration bound, Duration quiet) {
+  public GracefulStop(Stoppable node, InstantSource clock, Duration bound, Duration hearing) {
     this.node = node;
     this.clock = clock;
     this.bound = bound;
-    this.quiet = quiet;
+    this.hearing = hearing;
   }
 
   /** Ends the stop at its next step, with what is left. */
@@ -83,38 +87,38 @@
       startedAt = clock.instant();
       LOG.atInfo().log("stop: begins");
       node.leave();
-      phase = Phase.DRAINING;
+      phase = Phase.TELLING;
     }
     if (phase != Phase.DONE && (forced || clock.instant().isAfter(startedAt.plus(bound)))) {
       abandon();
       return true;
     }
-    if (phase == Phase.DRAINING && isQuiet()) {
+    advance();
+    return phase == Phase.DONE;
+  }
+
+  private void advance() {
+    if (phase == Phase.TELLING && !clock.instant().isBefore(startedAt.plus(hearing))) {
       phase = Phase.HANDING_OVER;
     }
     if (phase == Phase.HANDING_OVER && node.handOver()) {
+      node.refuse();
+      phase = Phase.REFUSING;
+    }
+    if (phase == Phase.REFUSING && isIdle()) {
       LOG.atInfo().log("stop: nothing is left");
       phase = Phase.DONE;
     }
-    return phase == Phase.DONE;
   }
 
-  private boolean isQuiet() {
-    boolean idle = node.inFlight().values().stream().allMatch(n -> n == 0);
-    if (!idle) {
-      idleSince = null;
-      return false;
-    }
-    if (idleSince == null) {
-      idleSince = clock.instant();
-    }
-    return !clock.instant().isBefore(idleSince.plus(quiet));
+  private boolean isIdle() {
+    return node.inFlight().values().stream().allMatch(n -> n == 0);
   }
 
   private void abandon() {
     Map<String, Integer> left = new TreeMap<>(node.inFlight());
     left.values().removeIf(n -> n == 0);
-    whole = left.isEmpty() && phase == Phase.HANDING_OVER && !forced;
+    whole = false;
     LOG.atWarning().log("stop: ends in phase %s with work left: %s", phase, left);
     phase = Phase.DONE;
   }
