--- a/masticspread-ctl/src/test/java/org/masticspread/ctl/measure/request/WaitMeasureTest.java
+++ b/masticspread-ctl/src/test/java/org/masticspread/ctl/measure/request/WaitMeasureTest.java
@@ -4,6 +4,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.masticspread.ctl.measure.MeasureReport;
@@ -50,4 +51,17 @@
       assertThat(own.responseP99Ms()).isLessThanOrEqualTo(other.responseP99Ms());
     }
   }
+
+  @ParameterizedTest
+  @Tag("known-red")
+  @CsvSource({"round-robin", "fifo", "random-free", "strict-priority", "random"})
+  void should_let_no_work_wait_longer_than_with_a_baseline(String baseline) {
+    for (String deployment : List.of("kitami", "mtkvari")) {
+      // WHEN
+      RequestRow own = row(RequestPolicies.MASTICSPREAD, deployment, "all");
+      RequestRow other = row(baseline, deployment, "all");
+      // THEN
+      assertThat(own.waitP99Ms()).isLessThanOrEqualTo(other.waitP99Ms());
+    }
+  }
 }
