--- a/masticspread-ctl/src/main/java/org/masticspread/ctl/CtlMain.java
+++ b/masticspread-ctl/src/main/java/org/masticspread/ctl/CtlMain.java
@@ -22,6 +22,7 @@
    * @param args the command line
    */
   public static void main(String[] args) {
+    System.setProperty("masticspread.log.level", "OFF");
     CtlContext context =
         new CtlContext(
             System.getenv(),
