A holder that was paused past its session grants no longer lease

Cause: the check of the session came before the clock was read for a lease. A pause between the two let a former owner grant a fresh lease to a worker that the new owner could not reach and whose leases it took as lapsed. Change: renewals and starts read the clock first and check the session then, so a pause makes the lease shorter or drops the call.

--- a/masticspread-node/src/main/java/org/masticspread/node/rack/LeaseRenewal.java
+++ b/masticspread-node/src/main/java/org/masticspread/node/rack/LeaseRenewal.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.Executor;
+import java.util.function.Predicate;
 import org.masticspread.model.id.ShardId;
 import org.masticspread.model.id.WorkerId;
 import org.masticspread.model.peer.ReportTasks;
@@ -34,6 +35,7 @@
   private final TaskReports reports;
   private final Members members;
   private final Executor executor;
+  private final Predicate<RackShard> mayAct;
 
   LeaseRenewal(
       RackTimes times,
@@ -41,13 +43,15 @@
       WorkerPort workers,
       TaskReports reports,
       Members members,
-      Executor executor) {
+      Executor executor,
+      Predicate<RackShard> mayAct) {
     this.times = times;
     this.clock = clock;
     this.workers = workers;
     this.reports = reports;
     this.members = members;
     this.executor = executor;
+    this.mayAct = mayAct;
   }
 
   /** Contacts each worker of a rack that is not being contacted, side by side. */
@@ -93,8 +97,12 @@
     tell(rack, worker, link, report, lost(changes.gone(), shards));
   }
 
+  /** Reads the clock before the check: a pause after it makes the lease shorter, never longer. */
   private void renew(RackShard rack, WorkerId worker, WorkerLink link) throws WorkerException {
-    Instant leaseUntil = clock.instant().plus(times.lease());
+    final Instant leaseUntil = clock.instant().plus(times.lease());
+    if (!mayAct.test(rack)) {
+      return;
+    }
     Mark mark = rack.ledger().mark();
     final Map<TaskAttempt, ShardId> shards = rack.shardsOfBooked();
     List<TaskAttempt> acknowledged = link.acknowledged();
--- a/masticspread-node/src/main/java/org/masticspread/node/rack/RackOwner.java
+++ b/masticspread-node/src/main/java/org/masticspread/node/rack/RackOwner.java
@@ -72,8 +72,9 @@
     this.workers = workers;
     this.authority = authority;
     this.members = members;
-    this.starter = new TaskStarter(times, clock, workers);
-    this.renewal = new LeaseRenewal(times, clock, workers, reports, members, executor);
+    this.starter = new TaskStarter(times, clock, workers, this::mayAct);
+    this.renewal =
+        new LeaseRenewal(times, clock, workers, reports, members, executor, this::mayAct);
   }
 
   /**
--- a/masticspread-node/src/main/java/org/masticspread/node/rack/TaskStarter.java
+++ b/masticspread-node/src/main/java/org/masticspread/node/rack/TaskStarter.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Predicate;
 import org.masticspread.model.id.WorkerId;
 import org.masticspread.model.peer.PlaceOutcome;
 import org.masticspread.model.peer.PlaceTask;
@@ -25,11 +26,14 @@
   private final RackTimes times;
   private final InstantSource clock;
   private final WorkerPort workers;
+  private final Predicate<RackShard> mayAct;
 
-  TaskStarter(RackTimes times, InstantSource clock, WorkerPort workers) {
+  TaskStarter(
+      RackTimes times, InstantSource clock, WorkerPort workers, Predicate<RackShard> mayAct) {
     this.times = times;
     this.clock = clock;
     this.workers = workers;
+    this.mayAct = mayAct;
   }
 
   TasksPlaced place(RackShard rack, PlaceTasks message) {
@@ -75,9 +79,14 @@
         .forEach(o -> WorkerOrders.send(workers, o.worker(), rack.epoch(), o.task(), o.order()));
   }
 
+  /** Reads the clock before the check, as a renewal does. */
   private PlaceOutcome startOn(
       RackShard rack, WorkerId worker, PlaceTask task, TaskAttempt attempt) {
     Instant leaseUntil = clock.instant().plus(times.lease());
+    if (!mayAct.test(rack)) {
+      rack.ledger().failed(attempt, true);
+      return PlaceOutcome.NO_ROOM;
+    }
     rack.link(worker).granting(leaseUntil.plus(times.skewMargin()));
     StartTask start =
         new StartTask(
