--- /dev/null
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Cell.java
@@ -0,0 +1,595 @@
+package org.masticspread.cell.engine;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.masticspread.cell.journal.JobRecord;
+import org.masticspread.cell.journal.ProgressRecord;
+import org.masticspread.cell.policy.Admission;
+import org.masticspread.cell.policy.Placement;
+import org.masticspread.cell.port.WorkerEntry;
+import org.masticspread.cell.port.WorkerPort.Outcome;
+import org.masticspread.cell.port.WorkerPort.RenewResult;
+import org.masticspread.cell.port.WorkerPort.Renewal;
+import org.masticspread.model.cell.CellConfig;
+import org.masticspread.model.cell.JobOrder;
+import org.masticspread.model.cell.JobState;
+import org.masticspread.model.cell.QueueRule;
+import org.masticspread.model.cell.StepSpec;
+import org.masticspread.model.peer.CellCall;
+import org.masticspread.model.peer.CellReply;
+
+/**
+ * The scheduler of a cell for one epoch of leadership. It accepts jobs, starts their tasks on
+ * workers under leases, and sees them to their end. All calls come from one thread, that of {@link
+ * CellPorts#timers()}.
+ *
+ * <pre>{@code
+ * Cell cell = new Cell(ports, () -> leadership.resign("fenced"));
+ * cell.configure(config);
+ * cell.restore(record, progress);
+ * cell.register(entry);
+ * cell.begin();
+ * cell.answer(call, reply -> send(reply));
+ * }</pre>
+ */
+public final class Cell {
+  /** A worker's clock may be 2 % slow by the platform's contract. */
+  static final double SLOWEST_CLOCK = 1.0205;
+
+  /** Added to the end of a lease: what it killed may take a moment to be gone. */
+  static final Duration LAPSE_MARGIN = Duration.ofMillis(150);
+
+  /**
+   * The length of a lease: longer than a change of the leader with a restart of its process, short
+   * enough that the work of a lost worker comes back within the stretch of most jobs.
+   */
+  private static final Duration LEASE = Duration.ofMillis(3500);
+
+  /** A worker answers a renewal after this, if no task ends before: three renewals in a lease. */
+  private static final Duration RENEWAL_WAIT = Duration.ofMillis(1000);
+
+  /** Between renewals that do not wait: failed ones, or with ends that are not durable yet. */
+  private static final Duration RENEWAL_PAUSE = Duration.ofMillis(250);
+
+  /** How often expired leases, standing tasks and due occurrences are looked for. */
+  private static final Duration TICK = Duration.ofMillis(100);
+
+  /** Collects the events of a moment in one pass. */
+  private static final Duration PASS_DELAY = Duration.ofMillis(1);
+
+  /** A task whose percentage has not changed for so long stands still. */
+  private static final Duration STANDING = Duration.ofMillis(2500);
+
+  /** A worker that left the registry and does not answer is dropped after this. */
+  private static final Duration DROP_AFTER = Duration.ofSeconds(10);
+
+  /** How long a call waits for a configuration that its sender has already seen. */
+  private static final Duration CONFIG_WAIT = Duration.ofMillis(40);
+
+  private static final int MOST_CONFIG_WAITS = 20;
+
+  /** Runs are numbered from here in each epoch; no task is started so often in one. */
+  private static final long RUNS_PER_EPOCH = 1000;
+
+  private final CellPorts ports;
+  private final Runnable whenFenced;
+  private final Fleet fleet;
+  private final JobBook jobs;
+  private final Launcher launcher;
+  private final Reports reports;
+  private final Scheduler scheduler;
+  private CellConfig config;
+  private boolean closed;
+  private boolean paused;
+  private boolean passScheduled;
+  private long ticks;
+  private Runnable afterRegistry = () -> {};
+
+  /** The calls that wait for something to become durable. */
+  private final Set<Consumer<CellReply>> waiting = new LinkedHashSet<>();
+
+  /**
+   * Creates a cell that holds nothing yet.
+   *
+   * @param ports what it works with
+   * @param config the configuration
+   * @param whenFenced told when a worker has seen a higher token
+   */
+  public Cell(CellPorts ports, CellConfig config, Runnable whenFenced) {
+    this.ports = ports;
+    this.config = config;
+    this.whenFenced = whenFenced;
+    this.fleet = new Fleet(ports.clock(), ports.log());
+    this.jobs = new JobBook(ports);
+    this.launcher = new Launcher(ports, fleet, this);
+    this.reports = new Reports(ports, jobs, fleet, this, launcher);
+    this.scheduler = new Scheduler(ports, jobs, fleet, this, launcher);
+  }
+
+  /**
+   * Takes over a job that an earlier leader accepted. Only before {@link #begin}.
+   *
+   * @param record its order
+   * @param progress its progress, if any was written
+   */
+  public void restore(JobRecord record, Optional<ProgressRecord> progress) {
+    jobs.restore(record, progress);
+  }
+
+  /** Starts to work. */
+  public void begin() {
+    tick();
+  }
+
+  /** Ends: nothing more is started, renewed or written. */
+  public void close() {
+    closed = true;
+    ports.journal().close();
+    List<Consumer<CellReply>> open = List.copyOf(waiting);
+    waiting.clear();
+    open.forEach(r -> r.accept(CellReply.of(CellReply.Outcome.UNCERTAIN, "leader changed")));
+  }
+
+  /**
+   * Tells whether the cell has ended.
+   *
+   * @return whether {@link #close} was called
+   */
+  public boolean closed() {
+    return closed;
+  }
+
+  /**
+   * Runs an action once the registry was read.
+   *
+   * @param action the action
+   */
+  public void whenRegistered(Runnable action) {
+    afterRegistry = action;
+  }
+
+  /** The registry was read whole. */
+  public void registered() {
+    afterRegistry.run();
+  }
+
+  /**
+   * Starts no new task while paused, as while another VM takes over.
+   *
+   * @param value whether to pause
+   */
+  public void pause(boolean value) {
+    paused = value;
+    requestPass();
+  }
+
+  boolean paused() {
+    return paused;
+  }
+
+  /**
+   * Applies a newer configuration.
+   *
+   * @param newer the configuration
+   */
+  public void configure(CellConfig newer) {
+    if (newer.version() > config.version()) {
+      config = newer;
+      requestPass();
+    }
+  }
+
+  CellConfig config() {
+    return config;
+  }
+
+  Optional<QueueRule> queue(Job job) {
+    return config.queue(job.order.queue());
+  }
+
+  long runBase() {
+    return (ports.term().epoch() - 1) * RUNS_PER_EPOCH;
+  }
+
+  long leaseMillis() {
+    return Math.min(LEASE.toMillis(), ports.limits().longestLease().toMillis());
+  }
+
+  /**
+   * Takes in an entry of the registry.
+   *
+   * @param entry the entry
+   */
+  public void register(WorkerEntry entry) {
+    Optional<Worker> added = fleet.register(entry);
+    added.ifPresent(
+        worker -> {
+          // An earlier leader may have renewed its lease until just before it was deposed.
+          long lease = (long) (leaseMillis() * SLOWEST_CLOCK) + 2 * LAPSE_MARGIN.toMillis();
+          worker.unheardUntilMillis = now() + lease;
+          renew(worker);
+        });
+    requestPass();
+  }
+
+  /**
+   * Takes in that an entry has left the registry.
+   *
+   * @param id the worker
+   */
+  public void unregister(String id) {
+    fleet.unregister(id);
+  }
+
+  /**
+   * Takes in which workers the registry holds, after its changes could not be followed.
+   *
+   * @param ids all its workers
+   */
+  public void retain(List<String> ids) {
+    for (Worker worker : fleet.all()) {
+      if (!ids.contains(worker.id())) {
+        fleet.unregister(worker.id());
+      }
+    }
+  }
+
+  /**
+   * Answers a call of a caller, when what it says is durable.
+   *
+   * @param call the call
+   * @param reply gets the answer; uncertain if this cell is closed before
+   */
+  public void answer(CellCall call, Consumer<CellReply> reply) {
+    if (closed) {
+      reply.accept(CellReply.of(CellReply.Outcome.NOT_LEADING, "closed"));
+      return;
+    }
+    waiting.add(reply);
+    answer(
+        call,
+        answer -> {
+          if (waiting.remove(reply)) {
+            reply.accept(answer);
+          }
+        },
+        0);
+  }
+
+  private void answer(CellCall call, Consumer<CellReply> reply, int waits) {
+    if (closed) {
+      return;
+    }
+    if (call.configVersion() > config.version() && waits < MOST_CONFIG_WAITS) {
+      ports.timers().after(CONFIG_WAIT, () -> answer(call, reply, waits + 1));
+      return;
+    }
+    switch (call.action()) {
+      case SUBMIT -> submit(call.order(), reply);
+      case SHOW -> show(call.job(), reply);
+      case CANCEL -> cancel(call.job(), reply);
+      case COUNT ->
+          reply.accept(
+              new CellReply(
+                  CellReply.Outcome.COUNTED, null, jobs.waiting(call.queue()), 0, ""));
+      default -> throw new IllegalStateException("action: " + call.action());
+    }
+  }
+
+  private void submit(JobOrder order, Consumer<CellReply> reply) {
+    Optional<Job> known = jobs.find(order.id());
+    if (known.isEmpty()) {
+      Optional<QueueRule> queue = config.queue(order.queue());
+      if (queue.isEmpty()) {
+        refuse(order, reply, Duration.ofSeconds(1), "no such queue");
+        return;
+      }
+      if (!admit(order, queue.get(), reply)) {
+        return;
+      }
+      Job job = jobs.accept(order);
+      ports
+          .journal()
+          .whenDurable(
+              () -> {
+                job.durable = true;
+                requestPass();
+              });
+    }
+    ports
+        .journal()
+        .whenDurable(
+            () -> reply.accept(CellReply.of(CellReply.Outcome.ACCEPTED, "")));
+  }
+
+  private boolean admit(JobOrder order, QueueRule queue, Consumer<CellReply> reply) {
+    if (order.recurrence().timed() || order.steps().stream().anyMatch(StepSpec::lasting)) {
+      return true;
+    }
+    Admission.Facts facts = scheduler.facts(order, queue);
+    Admission.Decision decision = Admission.decide(facts);
+    if (decision.accepted()) {
+      ports
+          .log()
+          .event("job-accept", order.id(), "queue", order.queue(), "expectedMs",
+              decision.expected().toMillis(), "objectiveMs", facts.objective().toMillis(),
+              "aheadCoreMs", facts.aheadCoreMillis(), "capacity", facts.capacityMillicores());
+      return true;
+    }
+    ports.metrics().counter("refused.backlog").inc();
+    refuse(
+        order,
+        reply,
+        decision.retryAfter(),
+        "would be done in "
+            + decision.expected().toMillis()
+            + " ms, wanted in "
+            + facts.objective().toMillis());
+    return false;
+  }
+
+  private void refuse(
+      JobOrder order, Consumer<CellReply> reply, Duration retryAfter, String reason) {
+    ports
+        .log()
+        .event("job-refuse", order.id(), "queue", order.queue(), "reason", reason,
+            "retryAfterMs", retryAfter.toMillis());
+    reply.accept(
+        new CellReply(
+            CellReply.Outcome.REFUSED, null, 0, (int) retryAfter.toMillis(), reason));
+  }
+
+  private void show(String id, Consumer<CellReply> reply) {
+    Optional<Job> job = jobs.find(id);
+    if (job.isEmpty()) {
+      reply.accept(CellReply.of(CellReply.Outcome.UNKNOWN_JOB, ""));
+      return;
+    }
+    if (!job.get().durable) {
+      ports.journal().whenDurable(() -> show(id, reply));
+      return;
+    }
+    reply.accept(new CellReply(CellReply.Outcome.SHOWN, job.get().shown, 0, 0, ""));
+  }
+
+  private void cancel(String id, Consumer<CellReply> reply) {
+    Optional<Job> job = jobs.find(id);
+    if (job.isEmpty()) {
+      reply.accept(CellReply.of(CellReply.Outcome.UNKNOWN_JOB, ""));
+      return;
+    }
+    if (!job.get().state.ended()) {
+      ports
+          .log()
+          .event("job-cancel", id, "ageMs", now() - job.get().acceptedMillis, "state",
+              job.get().state);
+      endEarly(job.get(), JobState.CANCELLED);
+    }
+    ports
+        .journal()
+        .whenDurable(() -> reply.accept(CellReply.of(CellReply.Outcome.CANCELLED, "")));
+  }
+
+  /** Ends a job and stops what it runs. */
+  void endEarly(Job job, JobState state) {
+    jobs.end(job, state);
+    for (List<Step> steps : job.occurrences.values()) {
+      for (Step step : steps) {
+        for (Task task : step.tasks) {
+          if (task.run != null) {
+            launcher.stop(task.run, "job " + state);
+          }
+        }
+      }
+    }
+    requestPass();
+  }
+
+  /** Notes that a run is certainly over. */
+  void over(Run run, String reason) {
+    run.worker.release(run);
+    Task task = run.task;
+    if (task == null || task.run != run) {
+      return;
+    }
+    task.run = null;
+    if (!task.succeeded && !task.step.job.state.ended()) {
+      ports.log().event("task-waits-again", task.name, "run", run.number, "reason", reason);
+      if (task.step.spec.gang() && !reason.equals("ended")) {
+        stopGang(task.step, run.number, reason);
+      }
+    }
+    requestPass();
+  }
+
+  private void stopGang(Step step, long number, String reason) {
+    for (Task member : step.tasks) {
+      if (member.run != null && member.run.number == number) {
+        launcher.stop(member.run, "gang member " + reason);
+      }
+    }
+  }
+
+  /** A worker has seen a higher token: another VM leads. */
+  void fenced(Worker worker) {
+    ports.log().event("cell-fenced", worker.id(), "epoch", ports.term().epoch());
+    whenFenced.run();
+  }
+
+  /** Renews the lease of a worker, unless a call is on its way. */
+  void renew(Worker worker) {
+    if (closed || worker.renewing) {
+      return;
+    }
+    worker.renewing = true;
+    boolean wait =
+        !worker.renewSoon
+            && worker.heard
+            && worker.failedRenewals == 0
+            && worker.seenEnd == worker.acknowledgedEnd;
+    worker.renewSoon = false;
+    OptionalLong leaseEnd = OptionalLong.empty();
+    if (worker.heard) {
+      long end = worker.leaseEnd(now(), leaseMillis());
+      worker.leaseUntilMillis = Math.max(worker.leaseUntilMillis, end);
+      leaseEnd = OptionalLong.of(end);
+    }
+    long sent = now();
+    Renewal renewal =
+        new Renewal(
+            leaseEnd,
+            ports.term().epoch(),
+            worker.acknowledgedEnd,
+            wait ? RENEWAL_WAIT : Duration.ZERO);
+    var unused =
+        ports
+            .workers()
+            .renew(worker.entry, renewal)
+            .subscribe(result -> renewed(worker, result, sent));
+  }
+
+  private void renewed(Worker worker, RenewResult result, long sent) {
+    worker.renewing = false;
+    if (closed) {
+      return;
+    }
+    if (result.outcome() == Outcome.FENCED) {
+      fenced(worker);
+      return;
+    }
+    if (result.view().isEmpty()) {
+      renewalFailed(worker, result.outcome());
+      return;
+    }
+    if (worker.failedRenewals > 0) {
+      ports.log().event("worker-regained", worker.id(), "failed", worker.failedRenewals);
+    }
+    worker.failedRenewals = 0;
+    boolean first = !worker.heard;
+    reports.take(worker, result.view().get(), sent);
+    if (!fleetHas(worker)) {
+      return;
+    }
+    requestPass();
+    if (worker.renewSoon || first || worker.seenEnd == worker.acknowledgedEnd) {
+      renew(worker);
+    } else {
+      // Until the ends are durable, the worker would answer at once again and again.
+      ports.timers().after(RENEWAL_PAUSE, () -> renew(worker));
+    }
+  }
+
+  private boolean fleetHas(Worker worker) {
+    return fleet.find(worker.id()).filter(known -> known == worker).isPresent();
+  }
+
+  private void renewalFailed(Worker worker, Outcome outcome) {
+    if (worker.failedRenewals == 0) {
+      ports
+          .log()
+          .event("worker-lost", worker.id(), "outcome", outcome, "runs", worker.runs.size(),
+              "heardMsAgo", now() - worker.heardMillis);
+    }
+    worker.failedRenewals++;
+    if (worker.gone() && now() - worker.missingSinceMillis > DROP_AFTER.toMillis()
+        && worker.runs.isEmpty()) {
+      ports.log().event("worker-dropped", worker.id());
+      fleet.remove(worker);
+      return;
+    }
+    ports.timers().after(RENEWAL_PAUSE, () -> renew(worker));
+  }
+
+  private void tick() {
+    if (closed) {
+      return;
+    }
+    ticks++;
+    for (Worker worker : List.copyOf(fleet.all())) {
+      lapse(worker);
+      findStanding(worker);
+    }
+    jobs.openOccurrences();
+    if (ticks % 50 == 0) {
+      jobs.dropOld();
+    }
+    requestPass();
+    ports.timers().after(TICK, this::tick);
+  }
+
+  private void lapse(Worker worker) {
+    if (worker.runs.isEmpty() || now() <= worker.lapsesAtMillis()) {
+      return;
+    }
+    ports
+        .log()
+        .event("worker-lapsed", worker.id(), "runs", worker.runs.size(), "heardMsAgo",
+            now() - worker.heardMillis);
+    for (Run run : List.copyOf(worker.runs.values())) {
+      over(run, "lapsed");
+    }
+  }
+
+  /** Moves tasks away from a worker on which they stand still. */
+  private void findStanding(Worker worker) {
+    for (Run run : List.copyOf(worker.runs.values())) {
+      boolean stands =
+          run.phase == Run.Phase.RUNNING
+              && !run.stopWanted
+              && run.task != null
+              && !run.task.step.spec.lasting()
+              && run.percent < 100
+              && worker.heardMillis - run.progressAtMillis > STANDING.toMillis()
+              && (!run.task.step.spec.gang() || run.percent > 0);
+      if (stands) {
+        fleet.troubles.putAside(worker.id(), now());
+        ports
+            .log()
+            .event("task-stands", run.taskName, "run", run.number, "worker", worker.id(),
+                "percent", run.percent, "sinceMs", now() - run.progressAtMillis);
+        launcher.stop(run, "stands still");
+      }
+    }
+  }
+
+  /** Plans again soon. */
+  void requestPass() {
+    if (closed || passScheduled) {
+      return;
+    }
+    passScheduled = true;
+    ports
+        .timers()
+        .after(
+            PASS_DELAY,
+            () -> {
+              passScheduled = false;
+              if (!closed && !paused) {
+                scheduler.pass();
+              }
+            });
+  }
+
+  /**
+   * Returns the time of day, for the due times of timed jobs.
+   *
+   * @return the time
+   */
+  Instant timeOfDay() {
+    return ports.timeOfDay().instant();
+  }
+
+  double slowdown(Worker worker, StepSpec step) {
+    return Placement.slowdown(worker, step, ports.limits().farSlowdown());
+  }
+
+  private long now() {
+    return ports.clock().millis();
+  }
+}
--- /dev/null
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Fleet.java
@@ -0,0 +1,109 @@
+package org.masticspread.cell.engine;
+
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.masticspread.cell.log.EventLog;
+import org.masticspread.cell.policy.SpeedBook;
+import org.masticspread.cell.policy.TroubleWatch;
+import org.masticspread.cell.port.WorkerEntry;
+
+/** The workers of a cell, from the registry and from what they answer. Confined to the cell. */
+final class Fleet {
+  /** A worker that has not answered for so long gets no new task; its renewals take a second. */
+  private static final Duration SILENT = Duration.ofMillis(1600);
+
+  final SpeedBook speeds = new SpeedBook();
+  final TroubleWatch troubles = new TroubleWatch();
+  private final Map<String, Worker> workers = new LinkedHashMap<>();
+  private final InstantSource clock;
+  private final EventLog log;
+
+  Fleet(InstantSource clock, EventLog log) {
+    this.clock = clock;
+    this.log = log;
+  }
+
+  Collection<Worker> all() {
+    return workers.values();
+  }
+
+  Optional<Worker> find(String id) {
+    return Optional.ofNullable(workers.get(id));
+  }
+
+  /** Takes in an entry of the registry; returns the worker if it is new. */
+  Optional<Worker> register(WorkerEntry entry) {
+    Worker known = workers.get(entry.id());
+    if (known == null) {
+      Worker worker = new Worker(entry, speeds);
+      workers.put(entry.id(), worker);
+      log.event("worker-registered", entry.id(), "dc", entry.dataCentre(), "rack", entry.rack());
+      return Optional.of(worker);
+    }
+    if (known.entry.draining() != entry.draining()) {
+      log.event("worker-draining", entry.id(), "draining", entry.draining());
+    }
+    known.entry = entry;
+    known.missingSinceMillis = -1;
+    return Optional.empty();
+  }
+
+  void unregister(String id) {
+    Worker worker = workers.get(id);
+    if (worker != null && !worker.gone()) {
+      worker.missingSinceMillis = clock.millis();
+      log.event("worker-unregistered", id, "runs", worker.runs.size());
+    }
+  }
+
+  void remove(Worker worker) {
+    workers.remove(worker.id());
+    speeds.forget(worker.id());
+  }
+
+  /** Returns the workers of an endpoint that may get a new task. */
+  List<Worker> usable(String endpoint) {
+    List<Worker> usable = new ArrayList<>();
+    for (Worker worker : workers.values()) {
+      if (worker.entry.endpoint().equals(endpoint) && usable(worker)) {
+        usable.add(worker);
+      }
+    }
+    return usable;
+  }
+
+  boolean usable(Worker worker) {
+    long now = clock.millis();
+    if (!worker.heard || worker.gone() || worker.entry.draining()) {
+      return false;
+    }
+    if (now - worker.heardMillis > SILENT.toMillis() || worker.failedRenewals > 0) {
+      return false;
+    }
+    if (!troubles.usable(worker.id(), now)) {
+      return false;
+    }
+    return !troubles.onProbation(worker.id()) || worker.runs.isEmpty();
+  }
+
+  /** Tells whether a worker may still run what an earlier epoch started there. */
+  boolean unheard() {
+    long now = clock.millis();
+    return workers.values().stream().anyMatch(w -> !w.heard && now < w.unheardUntilMillis);
+  }
+
+  /** Returns the speed-weighted capacity of the usable workers of an endpoint. */
+  long capacityMillicores(String endpoint) {
+    double sum = 0;
+    for (Worker worker : usable(endpoint)) {
+      sum += worker.capacity().millicores() * worker.speed();
+    }
+    return (long) sum;
+  }
+}
--- /dev/null
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Job.java
@@ -0,0 +1,139 @@
+package org.masticspread.cell.engine;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.List;
+import java.util.TreeMap;
+import org.masticspread.cell.journal.ProgressRecord;
+import org.masticspread.cell.journal.ProgressRecord.StepRecord;
+import org.masticspread.model.cell.JobOrder;
+import org.masticspread.model.cell.JobState;
+import org.masticspread.model.cell.StepSpec;
+
+/** An accepted job, or one that is being accepted. Confined to the cell. */
+final class Job {
+  /** Occurrences that are kept ahead of time; later ones are opened when they are near. */
+  private static final int MOST_OPEN_OCCURRENCES = 64;
+
+  final JobOrder order;
+  final Instant acceptedAt;
+  final long epoch;
+
+  /** The acceptance on the cell's steady clock; earlier than its start for older jobs. */
+  final long acceptedMillis;
+
+  /** The open occurrences by number. */
+  final TreeMap<Integer, List<Step>> occurrences = new TreeMap<>();
+
+  JobState state = JobState.QUEUED;
+
+  /** The state that callers may see: only what is durable. */
+  JobState shown = JobState.QUEUED;
+
+  boolean durable;
+  long endedMillis = -1;
+  private final BitSet closed = new BitSet();
+  private int opened;
+
+  Job(JobOrder order, Instant acceptedAt, long epoch, long acceptedMillis) {
+    this.order = order;
+    this.acceptedAt = acceptedAt;
+    this.epoch = epoch;
+    this.acceptedMillis = acceptedMillis;
+  }
+
+  String id() {
+    return order.id();
+  }
+
+  /** Opens the occurrences that are due before a time of day. */
+  void openUntil(Instant time) {
+    int count = order.recurrence().count();
+    while (opened < count
+        && occurrences.size() < MOST_OPEN_OCCURRENCES
+        && (!order.recurrence().timed() || !order.recurrence().due(opened).isAfter(time))) {
+      if (!closed.get(opened)) {
+        open(opened);
+      }
+      opened++;
+    }
+  }
+
+  private void open(int occurrence) {
+    List<Step> steps = new ArrayList<>();
+    for (int number = 0; number < order.steps().size(); number++) {
+      steps.add(new Step(this, occurrence, number, order.steps().get(number)));
+    }
+    occurrences.put(occurrence, steps);
+  }
+
+  /** Returns a step, or null if the job has none of these numbers open. */
+  Step step(int occurrence, int number) {
+    List<Step> steps = occurrences.get(occurrence);
+    return steps == null || number < 0 || number >= steps.size() ? null : steps.get(number);
+  }
+
+  /** Closes the occurrences that are done; returns whether the whole job is. */
+  boolean allDone() {
+    occurrences
+        .entrySet()
+        .removeIf(
+            entry -> {
+              boolean done = entry.getValue().stream().allMatch(Step::done);
+              boolean idle = entry.getValue().stream().noneMatch(Step::anyRun);
+              boolean close = order.recurrence().timed() && done && idle;
+              closed.set(entry.getKey(), close);
+              return close;
+            });
+    boolean open = occurrences.values().stream().flatMap(List::stream).anyMatch(s -> !s.done());
+    return !open && opened >= order.recurrence().count();
+  }
+
+  boolean ready(Step step) {
+    for (int earlier : step.spec.after()) {
+      Step before = step(step.occurrence, earlier);
+      if (before != null && !before.done()) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  ProgressRecord record() {
+    List<StepRecord> steps = new ArrayList<>();
+    for (List<Step> occurrence : occurrences.values()) {
+      occurrence.stream().filter(Step::changed).map(Step::record).forEach(steps::add);
+    }
+    return new ProgressRecord(state, closed.toByteArray(), steps);
+  }
+
+  void restore(ProgressRecord saved, Instant openUntil) {
+    state = saved.state();
+    shown = saved.state();
+    closed.or(BitSet.valueOf(saved.closed()));
+    openUntil(openUntil);
+    for (StepRecord step : saved.steps()) {
+      Step open = step(step.occurrence(), step.step());
+      if (open != null) {
+        open.restore(step);
+      }
+    }
+  }
+
+  /** Returns the estimated time of the longest chain of steps. */
+  long pathMillis(double bias) {
+    long[] ends = new long[order.steps().size()];
+    long longest = 0;
+    for (int number = 0; number < ends.length; number++) {
+      StepSpec spec = order.steps().get(number);
+      long begin = 0;
+      for (int earlier : spec.after()) {
+        begin = Math.max(begin, earlier < number ? ends[earlier] : 0);
+      }
+      ends[number] = begin + (long) (spec.estimate().toMillis() * bias);
+      longest = Math.max(longest, ends[number]);
+    }
+    return longest;
+  }
+}
--- /dev/null
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Step.java
@@ -0,0 +1,116 @@
+package org.masticspread.cell.engine;
+
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.masticspread.cell.journal.ProgressRecord.Checkpoint;
+import org.masticspread.cell.journal.ProgressRecord.Failures;
+import org.masticspread.cell.journal.ProgressRecord.StepRecord;
+import org.masticspread.model.cell.StepSpec;
+
+/** One step of one occurrence of a job. Confined to the cell. */
+final class Step {
+  final Job job;
+  final int occurrence;
+  final int number;
+  final StepSpec spec;
+  final String name;
+  final List<Task> tasks = new ArrayList<>();
+  final Map<String, Approval> approvals = new HashMap<>();
+  int succeeded;
+  int gangFailures;
+  long lastFailedGangRun;
+  boolean adviceInFlight;
+  long adviceNotBeforeMillis;
+
+  /** When all tasks it waits for had succeeded; negative before. */
+  long readyAtMillis = -1;
+
+  Step(Job job, int occurrence, int number, StepSpec spec) {
+    this.job = job;
+    this.occurrence = occurrence;
+    this.number = number;
+    this.spec = spec;
+    this.name = job.order.id() + "." + occurrence + "." + number;
+    for (int i = 0; i < spec.tasks(); i++) {
+      tasks.add(new Task(this, i));
+    }
+  }
+
+  boolean done() {
+    return succeeded == tasks.size();
+  }
+
+  /** Notes a success once; returns whether it is new. */
+  boolean succeed(Task task) {
+    if (task.succeeded) {
+      return false;
+    }
+    task.succeeded = true;
+    succeeded++;
+    return true;
+  }
+
+  boolean anyRun() {
+    return tasks.stream().anyMatch(task -> task.run != null);
+  }
+
+  /** Returns a run number above all earlier ones of the tasks and of this epoch's base. */
+  long nextRun(long base) {
+    return Math.max(base, tasks.stream().mapToLong(task -> task.lastRun).max().orElse(0)) + 1;
+  }
+
+  boolean changed() {
+    return succeeded > 0
+        || gangFailures > 0
+        || tasks.stream().anyMatch(t -> t.failures > 0 || !t.checkpoint.isEmpty());
+  }
+
+  StepRecord record() {
+    BitSet bits = new BitSet(tasks.size());
+    List<Failures> failures = new ArrayList<>();
+    List<Checkpoint> checkpoints = new ArrayList<>();
+    for (Task task : tasks) {
+      bits.set(task.index, task.succeeded);
+      if (task.failures > 0) {
+        failures.add(new Failures(task.index, task.failures));
+      }
+      if (!task.checkpoint.isEmpty() && !task.succeeded) {
+        checkpoints.add(new Checkpoint(task.index, task.checkpoint));
+      }
+    }
+    return new StepRecord(
+        occurrence, number, bits.toByteArray(), gangFailures, failures, checkpoints);
+  }
+
+  void restore(StepRecord saved) {
+    BitSet bits = BitSet.valueOf(saved.succeeded());
+    for (Task task : tasks) {
+      if (bits.get(task.index)) {
+        succeed(task);
+      }
+    }
+    gangFailures = saved.gangFailures();
+    for (Failures failed : saved.failures()) {
+      tasks.get(failed.task()).failures = failed.count();
+    }
+    for (Checkpoint point : saved.checkpoints()) {
+      tasks.get(point.task()).checkpoint = point.value();
+    }
+  }
+
+  /**
+   * What the advisor said of a worker.
+   *
+   * @param life the life of the worker that it said it of
+   * @param code the ticket; empty if the worker is not approved
+   * @param untilMillis until when the ticket holds
+   */
+  record Approval(long life, String code, long untilMillis) {
+    boolean approved() {
+      return !code.isEmpty();
+    }
+  }
+}
--- /dev/null
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Task.java
@@ -0,0 +1,25 @@
+package org.masticspread.cell.engine;
+
+/** One task of a step. Confined to the cell. */
+final class Task {
+  final Step step;
+  final int index;
+  final String name;
+  int failures;
+  boolean succeeded;
+  String checkpoint = "";
+  long lastRun;
+
+  /** The run that may be at work; null if there is certainly none. */
+  Run run;
+
+  Task(Step step, int index) {
+    this.step = step;
+    this.index = index;
+    this.name = step.name + "." + index;
+  }
+
+  boolean waiting() {
+    return !succeeded && run == null;
+  }
+}
--- /dev/null
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Worker.java
@@ -0,0 +1,134 @@
+package org.masticspread.cell.engine;
+
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.masticspread.cell.policy.Room;
+import org.masticspread.cell.policy.SpeedBook;
+import org.masticspread.cell.port.WorkerEntry;
+import org.masticspread.model.resource.ResourceVector;
+
+/** A worker as the cell knows it. Confined to the cell. */
+final class Worker implements Room {
+  private final SpeedBook speeds;
+  WorkerEntry entry;
+
+  /** The runs that may be at work, by task name and run. */
+  final Map<String, Run> runs = new LinkedHashMap<>();
+
+  private final Map<String, Integer> perStep = new HashMap<>();
+  private ResourceVector booked = ResourceVector.ZERO;
+
+  /** The life that answered last; 0 before the first answer. */
+  long life;
+
+  /** Whether it has answered this epoch, and so refuses all earlier ones. */
+  boolean heard;
+
+  long heardMillis = -1;
+
+  /** The worker's clock and when it was read, on the cell's clock. */
+  long clockMillis;
+
+  long clockReadMillis;
+
+  /** The latest lease end that may have reached it, on its clock. */
+  long leaseUntilMillis;
+
+  long seenEnd;
+  long acknowledgedEnd;
+  boolean renewing;
+  boolean renewSoon;
+  int failedRenewals;
+
+  /** When its entry vanished from the registry; negative while it is there. */
+  long missingSinceMillis = -1;
+
+  /** When all that ran on it has certainly lapsed, if it never answered this epoch. */
+  long unheardUntilMillis;
+
+  Worker(WorkerEntry entry, SpeedBook speeds) {
+    this.entry = entry;
+    this.speeds = speeds;
+  }
+
+  static String key(String task, long run) {
+    return task + "#" + run;
+  }
+
+  void book(Run run) {
+    runs.put(key(run.taskName, run.number), run);
+    booked = booked.plus(run.booked);
+    if (run.task != null) {
+      perStep.merge(run.task.step.name, 1, Integer::sum);
+    }
+  }
+
+  void release(Run run) {
+    if (runs.remove(key(run.taskName, run.number)) == null) {
+      return;
+    }
+    booked = booked.minus(run.booked);
+    if (run.task != null) {
+      perStep.computeIfPresent(run.task.step.name, (step, count) -> count == 1 ? null : count - 1);
+    }
+  }
+
+  /** Notes what the worker's clock showed in an answer. */
+  void readClock(long clock, long nowMillis) {
+    clockMillis = clock;
+    clockReadMillis = nowMillis;
+  }
+
+  /** Returns the lease end on the worker's clock for a lease that begins now. */
+  long leaseEnd(long nowMillis, long leaseMillis) {
+    return clockMillis + (nowMillis - clockReadMillis) + leaseMillis;
+  }
+
+  /** Returns when, on the cell's clock, the newest lease has certainly expired. */
+  long lapsesAtMillis() {
+    if (!heard) {
+      return unheardUntilMillis;
+    }
+    double left = Math.max(0, leaseUntilMillis - clockMillis) * Cell.SLOWEST_CLOCK;
+    return clockReadMillis + (long) left + Cell.LAPSE_MARGIN.toMillis();
+  }
+
+  boolean gone() {
+    return missingSinceMillis >= 0;
+  }
+
+  @Override
+  public String id() {
+    return entry.id();
+  }
+
+  @Override
+  public String rack() {
+    return entry.rack();
+  }
+
+  @Override
+  public ResourceVector free() {
+    ResourceVector capacity = entry.capacity();
+    return new ResourceVector(
+        Math.max(0, capacity.millicores() - booked.millicores()),
+        Math.max(0, capacity.memoryBytes() - booked.memoryBytes()),
+        Math.max(0, capacity.accelerators() - booked.accelerators()));
+  }
+
+  @Override
+  public ResourceVector capacity() {
+    return entry.capacity();
+  }
+
+  @Override
+  public double speed() {
+    return speeds.speed(entry.id());
+  }
+
+  @Override
+  public int tasksOf(String step) {
+    return perStep.getOrDefault(step, 0);
+  }
+}
--- /dev/null
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/package-info.java
@@ -0,0 +1,2 @@
+/** The scheduler of a cell: its jobs, its workers and what runs where. */
+package org.masticspread.cell.engine;
--- /dev/null
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/journal/Journal.java
@@ -0,0 +1,297 @@
+package org.masticspread.cell.journal;
+
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Supplier;
+import org.masticspread.cell.log.EventLog;
+import org.masticspread.cell.port.CommitResult;
+import org.masticspread.cell.port.TableCommit;
+import org.masticspread.cell.port.TableCommit.Expected;
+import org.masticspread.cell.port.TableCommit.Put;
+import org.masticspread.cell.port.TableCommit.RowName;
+import org.masticspread.cell.port.TablePort;
+import org.masticspread.cell.port.TableRow;
+import org.masticspread.cell.port.Timers;
+import org.masticspread.model.result.InvalidFieldException;
+
+/**
+ * Writes the rows of a cell in commits, one after another. Each commit is conditional on the row of
+ * the leader and on the commit before it, so that one without an answer can be sent again and takes
+ * effect at most once, and none takes effect after a later one or after a change of the leader.
+ *
+ * <p>A row that is put again before it is written is written once, with its newest content.
+ *
+ * <pre>{@code
+ * journal.put(new RowName(Rows.JOB_TABLE, id), () -> Rows.encode(record));
+ * journal.whenDurable(() -> answer(ACCEPTED));
+ * }</pre>
+ */
+public final class Journal {
+  /** Collects rows of several events in one commit; callers see it as latency. */
+  private static final Duration LINGER = Duration.ofMillis(6);
+
+  /** Between two attempts while the store refuses. */
+  private static final Duration REFUSED_PAUSE = Duration.ofMillis(80);
+
+  /** The store allows 100 entries in a transaction; some are conditions and the head. */
+  private static final int MOST_ROWS = 90;
+
+  /** The store allows 1 MB in a transaction, as text of 4/3 of the size. */
+  private static final int MOST_BYTES = 500_000;
+
+  /** What the journal tells its owner. */
+  public interface Listener {
+    /** Another VM leads the cell now; nothing more is written. */
+    void deposed();
+
+    /**
+     * A commit got an answer or got none.
+     *
+     * @param reached whether the store carried it out
+     */
+    void storeReached(boolean reached);
+  }
+
+  private final TablePort table;
+  private final Timers timers;
+  private final InstantSource clock;
+  private final EventLog log;
+  private final Listener listener;
+  private final Term term;
+
+  private final Map<RowName, Entry> dirty = new LinkedHashMap<>();
+  private final Deque<Waiter> waiters = new ArrayDeque<>();
+  private long headVersion;
+  private long commits;
+  private long lastSequence;
+  private long durableSequence;
+  private boolean inFlight;
+  private boolean scheduled;
+  private boolean closed;
+  private long failingSinceMillis = -1;
+
+  /**
+   * Creates the journal of a won leadership.
+   *
+   * @param table the store
+   * @param timers delays commits
+   * @param clock a steady clock
+   * @param log told of lost and regained commits
+   * @param term the leadership
+   * @param listener told of the outcome of commits
+   */
+  public Journal(
+      TablePort table,
+      Timers timers,
+      InstantSource clock,
+      EventLog log,
+      Term term,
+      Listener listener) {
+    this.table = table;
+    this.timers = timers;
+    this.clock = clock;
+    this.log = log;
+    this.term = term;
+    this.listener = listener;
+    this.headVersion = term.version();
+  }
+
+  /**
+   * Writes a row with the next commit.
+   *
+   * @param row the row
+   * @param content encodes the content when the commit is made
+   */
+  public void put(RowName row, Supplier<byte[]> content) {
+    add(row, Optional.of(content));
+  }
+
+  /**
+   * Drops a row with the next commit.
+   *
+   * @param row the row
+   */
+  public void remove(RowName row) {
+    add(row, Optional.empty());
+  }
+
+  private void add(RowName row, Optional<Supplier<byte[]>> content) {
+    Entry old = dirty.get(row);
+    long sequence = old == null ? ++lastSequence : old.sequence;
+    dirty.put(row, new Entry(sequence, content));
+    schedule(LINGER);
+  }
+
+  /**
+   * Runs an action once all rows put so far are written. It never runs if they are not.
+   *
+   * @param action the action
+   */
+  public void whenDurable(Runnable action) {
+    if (durableSequence >= lastSequence) {
+      action.run();
+      return;
+    }
+    waiters.add(new Waiter(lastSequence, action));
+  }
+
+  /**
+   * Tells for how long commits have failed.
+   *
+   * @return the time; zero while they succeed
+   */
+  public Duration failingFor() {
+    return failingSinceMillis < 0
+        ? Duration.ZERO
+        : Duration.ofMillis(clock.millis() - failingSinceMillis);
+  }
+
+  /**
+   * Tells whether all rows are written.
+   *
+   * @return whether nothing waits
+   */
+  public boolean idle() {
+    return dirty.isEmpty() && !inFlight;
+  }
+
+  /** Writes nothing more. */
+  public void close() {
+    closed = true;
+  }
+
+  private void schedule(Duration delay) {
+    if (closed || inFlight || scheduled || dirty.isEmpty()) {
+      return;
+    }
+    scheduled = true;
+    timers.after(
+        delay,
+        () -> {
+          scheduled = false;
+          flush();
+        });
+  }
+
+  private void flush() {
+    if (closed || inFlight || dirty.isEmpty()) {
+      return;
+    }
+    List<Put> puts = new ArrayList<>();
+    List<RowName> removals = new ArrayList<>();
+    long sequence = take(puts, removals);
+    commits++;
+    puts.add(new Put(Rows.HEAD, Rows.encode(new HeadRecord(term.epoch(), commits))));
+    inFlight = true;
+    send(new Batch(sequence, puts, removals));
+  }
+
+  private long take(List<Put> puts, List<RowName> removals) {
+    int bytes = 0;
+    long sequence = durableSequence;
+    Iterator<Map.Entry<RowName, Entry>> rows = dirty.entrySet().iterator();
+    while (rows.hasNext() && puts.size() + removals.size() < MOST_ROWS && bytes < MOST_BYTES) {
+      Map.Entry<RowName, Entry> row = rows.next();
+      sequence = row.getValue().sequence;
+      Optional<byte[]> content = row.getValue().content.map(Supplier::get);
+      content.ifPresent(value -> puts.add(new Put(row.getKey(), value)));
+      if (content.isEmpty()) {
+        removals.add(row.getKey());
+      }
+      bytes += content.map(value -> value.length).orElse(0);
+      rows.remove();
+    }
+    return sequence;
+  }
+
+  private void send(Batch batch) {
+    if (closed) {
+      return;
+    }
+    List<Expected> expected =
+        List.of(new Expected(Rows.LEADER, term.version()), new Expected(Rows.HEAD, headVersion));
+    TableCommit commit = new TableCommit(Rows.PART, expected, batch.puts, batch.removals);
+    var unused = table.commit(commit).subscribe(result -> settle(batch, result));
+  }
+
+  private void settle(Batch batch, CommitResult result) {
+    if (closed) {
+      return;
+    }
+    switch (result.kind()) {
+      case DONE -> done(batch, result.version());
+      case CONFLICT -> conflict(batch, result.current());
+      case REFUSED, UNKNOWN -> again(batch, result.kind());
+      default -> throw new IllegalStateException("kind: " + result.kind());
+    }
+  }
+
+  private void done(Batch batch, long version) {
+    headVersion = version;
+    durableSequence = batch.sequence;
+    inFlight = false;
+    if (failingSinceMillis >= 0) {
+      log.event("store-regained", "journal", "afterMs", clock.millis() - failingSinceMillis);
+      failingSinceMillis = -1;
+    }
+    listener.storeReached(true);
+    while (!waiters.isEmpty() && waiters.peek().sequence <= durableSequence) {
+      waiters.poll().action.run();
+    }
+    schedule(LINGER);
+  }
+
+  /** The rows differ: either an earlier attempt was carried out, or another VM leads. */
+  private void conflict(Batch batch, List<TableRow> current) {
+    Optional<TableRow> leader = find(current, Rows.LEADER);
+    Optional<TableRow> head = find(current, Rows.HEAD);
+    boolean leads = leader.map(row -> row.version() == term.version()).orElse(false);
+    if (leads && head.isPresent() && head.get().version() != headVersion && wrote(head.get())) {
+      done(batch, head.get().version());
+      return;
+    }
+    log.event("journal-fenced", "journal", "epoch", term.epoch(), "commit", commits);
+    close();
+    listener.deposed();
+  }
+
+  private boolean wrote(TableRow head) {
+    try {
+      return Rows.decode(HeadRecord.class, head.value())
+          .equals(new HeadRecord(term.epoch(), commits));
+    } catch (InvalidFieldException e) {
+      log.event("row-unreadable", "head", "reason", e.getMessage());
+      return false;
+    }
+  }
+
+  private static Optional<TableRow> find(List<TableRow> rows, RowName name) {
+    return rows.stream()
+        .filter(row -> row.table().equals(name.table()) && row.key().equals(name.key()))
+        .findFirst();
+  }
+
+  private void again(Batch batch, CommitResult.Kind kind) {
+    if (failingSinceMillis < 0) {
+      failingSinceMillis = clock.millis();
+      log.event("store-lost", "journal", "outcome", kind, "commit", commits);
+    }
+    listener.storeReached(false);
+    Duration pause = kind == CommitResult.Kind.REFUSED ? REFUSED_PAUSE : Duration.ZERO;
+    timers.after(pause, () -> send(batch));
+  }
+
+  private record Entry(long sequence, Optional<Supplier<byte[]>> content) {}
+
+  private record Waiter(long sequence, Runnable action) {}
+
+  private record Batch(long sequence, List<Put> puts, List<RowName> removals) {}
+}
--- /dev/null
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/journal/Rows.java
@@ -0,0 +1,76 @@
+package org.masticspread.cell.journal;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import org.masticspread.cell.port.TableCommit.RowName;
+import org.masticspread.codec.Mappers;
+import org.masticspread.model.result.InvalidFieldException;
+
+/**
+ * The names of the rows that a cell keeps in the store, and their encoding, which is MessagePack.
+ *
+ * <p>All rows of a cell share one part, so that each commit can be conditional on the row of its
+ * leader.
+ */
+public final class Rows {
+  /** The part of all rows of the cell. */
+  public static final String PART = "main";
+
+  /** Holds the one row that names the leader; followed by every VM. */
+  public static final String LEADER_TABLE = "leader";
+
+  /** Holds the one row that counts the commits of the leader. */
+  public static final String HEAD_TABLE = "head";
+
+  /** Holds a row for each VM. */
+  public static final String VM_TABLE = "vms";
+
+  /** Holds the orders of the accepted jobs. */
+  public static final String JOB_TABLE = "jobs";
+
+  /** Holds the progress of the accepted jobs. */
+  public static final String PROGRESS_TABLE = "progress";
+
+  /** The row that names the leader. */
+  public static final RowName LEADER = new RowName(LEADER_TABLE, "leader");
+
+  /** The row that counts the commits. */
+  public static final RowName HEAD = new RowName(HEAD_TABLE, "head");
+
+  private Rows() {}
+
+  /**
+   * Encodes a record.
+   *
+   * @param content the record
+   * @return its bytes
+   */
+  public static byte[] encode(Object content) {
+    try {
+      return Mappers.messagePack().writeValueAsBytes(content);
+    } catch (IOException e) {
+      throw new UncheckedIOException("cannot encode " + content.getClass().getSimpleName(), e);
+    }
+  }
+
+  /**
+   * Decodes a record.
+   *
+   * @param <T> the type
+   * @param type the type
+   * @param bytes the bytes
+   * @return the record
+   * @throws InvalidFieldException if the bytes hold no such record
+   */
+  public static <T> T decode(Class<T> type, byte[] bytes) throws InvalidFieldException {
+    try {
+      T record = Mappers.messagePack().readValue(bytes, type);
+      if (record != null) {
+        return record;
+      }
+    } catch (IOException e) {
+      throw new InvalidFieldException(type.getSimpleName(), e.getMessage(), "MessagePack");
+    }
+    throw new InvalidFieldException(type.getSimpleName(), "null", "a record");
+  }
+}
--- /dev/null
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/lead/CellLoader.java
@@ -0,0 +1,98 @@
+package org.masticspread.cell.lead;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import org.masticspread.cell.journal.JobRecord;
+import org.masticspread.cell.journal.ProgressRecord;
+import org.masticspread.cell.journal.Rows;
+import org.masticspread.cell.log.EventLog;
+import org.masticspread.cell.port.RowPage;
+import org.masticspread.cell.port.TablePort;
+import org.masticspread.cell.port.TableRow;
+import org.masticspread.cell.port.Timers;
+import org.masticspread.model.result.InvalidFieldException;
+
+/** Reads the jobs that earlier leaders accepted. Reads again until the store answers. */
+final class CellLoader {
+  private static final Duration PAUSE = Duration.ofMillis(100);
+
+  private final TablePort store;
+  private final Timers timers;
+  private final EventLog log;
+  private final BooleanSupplier wanted;
+
+  CellLoader(TablePort store, Timers timers, EventLog log, BooleanSupplier wanted) {
+    this.store = store;
+    this.timers = timers;
+    this.log = log;
+    this.wanted = wanted;
+  }
+
+  /**
+   * A job as it was stored.
+   *
+   * @param record its order
+   * @param progress its progress, if any was written
+   */
+  record Stored(JobRecord record, Optional<ProgressRecord> progress) {}
+
+  /** Reads all jobs; the consumer is not called once they are not wanted any more. */
+  void load(Consumer<List<Stored>> loaded) {
+    Map<String, ProgressRecord> progress = new HashMap<>();
+    List<Stored> jobs = new ArrayList<>();
+    readAll(
+        Rows.PROGRESS_TABLE,
+        "",
+        row -> decode(ProgressRecord.class, row).ifPresent(p -> progress.put(row.key(), p)),
+        () ->
+            readAll(
+                Rows.JOB_TABLE,
+                "",
+                row ->
+                    decode(JobRecord.class, row)
+                        .ifPresent(
+                            job ->
+                                jobs.add(
+                                    new Stored(job, Optional.ofNullable(progress.get(row.key()))))),
+                () -> loaded.accept(jobs)));
+  }
+
+  private void readAll(String table, String from, Consumer<TableRow> each, Runnable then) {
+    if (!wanted.getAsBoolean()) {
+      return;
+    }
+    var unused =
+        store
+            .read(table, Rows.PART, from)
+            .subscribe(
+                page -> page(table, page, each, then),
+                error -> {
+                  log.event("store-read-failed", table, "reason", error.getMessage());
+                  timers.after(PAUSE, () -> readAll(table, from, each, then));
+                });
+  }
+
+  private void page(String table, RowPage page, Consumer<TableRow> each, Runnable then) {
+    page.rows().forEach(each);
+    if (page.more() && !page.rows().isEmpty()) {
+      readAll(table, page.rows().get(page.rows().size() - 1).key() + '\0', each, then);
+      return;
+    }
+    then.run();
+  }
+
+  private <T> Optional<T> decode(Class<T> type, TableRow row) {
+    try {
+      return Optional.of(Rows.decode(type, row.value()));
+    } catch (InvalidFieldException e) {
+      log.event("row-unreadable", row.key(), "table", row.table(), "reason", e.getMessage());
+      return Optional.empty();
+    }
+  }
+}
--- /dev/null
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/lead/Leadership.java
@@ -0,0 +1,352 @@
+package org.masticspread.cell.lead;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.masticspread.cell.journal.HeadRecord;
+import org.masticspread.cell.journal.LeaderRecord;
+import org.masticspread.cell.journal.Rows;
+import org.masticspread.cell.journal.Term;
+import org.masticspread.cell.journal.VmRecord;
+import org.masticspread.cell.port.CommitResult;
+import org.masticspread.cell.port.TableCommit;
+import org.masticspread.cell.port.TableCommit.Expected;
+import org.masticspread.cell.port.TableCommit.Put;
+import org.masticspread.cell.port.TableRow;
+import org.masticspread.model.id.VmId;
+import org.masticspread.model.peer.LeadCell;
+import org.masticspread.model.peer.VmProbe;
+import org.masticspread.model.peer.VmStatus;
+import org.masticspread.model.result.InvalidFieldException;
+
+/**
+ * Decides which VM leads the cell. The row of the leader decides; its epoch rises with each change.
+ * The other VMs probe the leader. When most of those that can be asked do not hear it, the
+ * strongest takes over by a conditional write. Safety rests on the epoch alone: the former leader
+ * can write nothing more, and workers refuse it.
+ */
+final class Leadership {
+  /** Between two probes of the leader: a killed leader is noticed after two. */
+  private static final Duration PROBE_EVERY = Duration.ofMillis(250);
+
+  /** A healthy leader answers a probe within a few ms, a busy one within some tens. */
+  private static final Duration PROBE_TIMEOUT = Duration.ofMillis(400);
+
+  /** Asking the other VMs; those that do not answer are not counted. */
+  private static final Duration OPINION_TIMEOUT = Duration.ofMillis(250);
+
+  private static final int MISSES_TO_SUSPECT = 2;
+
+  /** The next strongest VM waits so long for the stronger one. */
+  private static final Duration RANK_DELAY = Duration.ofMillis(120);
+
+  /** At the very first start the VMs register one after the other. */
+  private static final Duration FIRST_DELAY = Duration.ofMillis(700);
+
+  /** A VM that reaches no other VM may be the one that is cut off. */
+  private static final Duration ALONE_DELAY = Duration.ofMillis(1500);
+
+  /** A leader that has won but does not say so yet, or has just given up. */
+  private static final Duration NOT_LEADING_GRACE = Duration.ofMillis(1200);
+
+  private static final Duration RETRY = Duration.ofMillis(150);
+
+  /** What the leadership asks of its owner. */
+  interface Owner {
+    /** This VM leads now. */
+    void lead(Term term);
+
+    /** Another VM leads. */
+    void follow(LeaderRecord leader);
+
+    /** The newest configuration that this VM has. */
+    long configVersion();
+
+    /** A peer has another configuration. */
+    void configBehind();
+  }
+
+  private final VmPorts ports;
+  private final Roster roster;
+  private final Owner owner;
+  private Optional<LeaderRecord> leader = Optional.empty();
+  private long leaderVersion;
+  private boolean known;
+  private long wonEpoch;
+  private int misses;
+  private long heardMillis = Long.MIN_VALUE / 2;
+  private boolean suspecting;
+  private boolean claiming;
+  private boolean stopping;
+
+  Leadership(VmPorts ports, Roster roster, Owner owner) {
+    this.ports = ports;
+    this.roster = roster;
+    this.owner = owner;
+  }
+
+  Optional<LeaderRecord> leader() {
+    return leader;
+  }
+
+  boolean leading() {
+    return leader.map(record -> record.life().equals(roster.self().life())).orElse(false);
+  }
+
+  long epoch() {
+    return leader.map(LeaderRecord::epoch).orElse(0L);
+  }
+
+  boolean hearsLeader() {
+    return leading() || ports.clock().millis() - heardMillis < 2 * PROBE_TIMEOUT.toMillis();
+  }
+
+  void stopping() {
+    stopping = true;
+  }
+
+  boolean isStopping() {
+    return stopping;
+  }
+
+  /** Starts to watch the leader. */
+  void start() {
+    probe();
+  }
+
+  /** Takes in the row of the leader, or its absence. */
+  void read(Optional<TableRow> row) {
+    if (row.isEmpty()) {
+      if (!known) {
+        known = true;
+        suspect("no leader yet", FIRST_DELAY);
+      }
+      return;
+    }
+    known = true;
+    if (row.get().version() <= leaderVersion) {
+      return;
+    }
+    try {
+      take(Rows.decode(LeaderRecord.class, row.get().value()), row.get().version());
+    } catch (InvalidFieldException e) {
+      ports.log().event("row-unreadable", "leader", "reason", e.getMessage());
+    }
+  }
+
+  private void take(LeaderRecord record, long version) {
+    leaderVersion = version;
+    boolean changed = !leader.equals(Optional.of(record));
+    leader = Optional.of(record);
+    if (!changed) {
+      return;
+    }
+    misses = 0;
+    suspecting = false;
+    if (leading()) {
+      won(record.epoch(), version);
+      return;
+    }
+    heardMillis = ports.clock().millis();
+    ports
+        .log()
+        .event("leader-changed", record.vm(), "epoch", record.epoch(), "version", version);
+    owner.follow(record);
+  }
+
+  private void won(long epoch, long version) {
+    if (epoch <= wonEpoch) {
+      return;
+    }
+    wonEpoch = epoch;
+    ports.log().event("leader-won", roster.self().vm(), "epoch", epoch, "version", version);
+    owner.lead(new Term(epoch, version));
+  }
+
+  private void probe() {
+    if (leader.isPresent() && !leading()) {
+      probe(leader.get());
+    }
+    ports.timers().after(PROBE_EVERY, this::probe);
+  }
+
+  private void probe(LeaderRecord record) {
+    ports
+        .peers()
+        .call(
+            VmId.of(record.vm()),
+            new VmProbe(false, record.epoch(), owner.configVersion()),
+            PROBE_TIMEOUT)
+        .whenComplete(
+            (answer, error) ->
+                ports.timers().after(Duration.ZERO, () -> probed(record, answer, error)));
+  }
+
+  private void probed(LeaderRecord record, Object answer, Throwable error) {
+    if (!leader.equals(Optional.of(record))) {
+      return;
+    }
+    if (answer instanceof VmStatus status && status.life().equals(record.life())) {
+      if (status.configVersion() > owner.configVersion()) {
+        owner.configBehind();
+      }
+      long now = ports.clock().millis();
+      if (status.leading() && !status.stopping()) {
+        misses = 0;
+        heardMillis = now;
+      } else if (now - heardMillis > NOT_LEADING_GRACE.toMillis()) {
+        suspect("it does not lead", Duration.ZERO);
+      }
+      return;
+    }
+    misses++;
+    boolean restarted = answer instanceof VmStatus;
+    if (restarted || misses >= MISSES_TO_SUSPECT) {
+      String reason = restarted ? "its process is new" : "no answer: " + error;
+      suspect(reason, Duration.ZERO);
+    }
+  }
+
+  /** Asks the other VMs whether they hear the leader, and takes over if most do not. */
+  private void suspect(String reason, Duration delay) {
+    if (suspecting || stopping || leading()) {
+      return;
+    }
+    suspecting = true;
+    ports
+        .log()
+        .event("leader-suspected", leader.map(LeaderRecord::vm).orElse(""), "reason", reason,
+            "epoch", epoch(), "misses", misses);
+    ports.timers().after(delay, this::askOthers);
+  }
+
+  private void askOthers() {
+    if (!suspecting) {
+      return;
+    }
+    List<VmRecord> others = new ArrayList<>(roster.others());
+    others.removeIf(vm -> leader.map(record -> record.vm().equals(vm.vm())).orElse(false));
+    if (others.isEmpty()) {
+      claimAfter(List.of(), 0);
+      return;
+    }
+    List<VmRecord> answered = new ArrayList<>();
+    int[] hearing = {0};
+    int[] open = {others.size()};
+    for (VmRecord other : others) {
+      ports
+          .peers()
+          .call(
+              VmId.of(other.vm()),
+              new VmProbe(false, epoch(), owner.configVersion()),
+              OPINION_TIMEOUT)
+          .whenComplete(
+              (answer, error) ->
+                  ports
+                      .timers()
+                      .after(
+                          Duration.ZERO,
+                          () -> {
+                            if (answer instanceof VmStatus status) {
+                              hearing[0] += status.hearsLeader() ? 1 : 0;
+                              if (!status.stopping()) {
+                                answered.add(other);
+                              }
+                            }
+                            if (--open[0] == 0) {
+                              judge(answered, hearing[0], others.size());
+                            }
+                          }));
+    }
+  }
+
+  private void judge(List<VmRecord> answered, int hearing, int asked) {
+    if (!suspecting) {
+      return;
+    }
+    if (leader.isPresent() && 2 * hearing > answered.size()) {
+      ports
+          .log()
+          .event("leader-kept", leader.get().vm(), "hearing", hearing, "asked", asked);
+      suspecting = false;
+      misses = 0;
+      return;
+    }
+    claimAfter(answered, asked);
+  }
+
+  private void claimAfter(List<VmRecord> rivals, int asked) {
+    Duration delay = RANK_DELAY.multipliedBy(roster.rank(rivals));
+    if (rivals.isEmpty() && asked > 0) {
+      delay = ALONE_DELAY;
+    }
+    long epoch = epoch();
+    ports
+        .timers()
+        .after(
+            delay,
+            () -> {
+              if (suspecting && epoch == epoch()) {
+                suspecting = false;
+                claim("suspected");
+              }
+            });
+  }
+
+  /** Tries to become the leader by a conditional write. */
+  void claim(String reason) {
+    if (claiming || stopping || leading() || !known) {
+      return;
+    }
+    claiming = true;
+    LeaderRecord mine =
+        new LeaderRecord(roster.self().vm(), roster.self().life(), epoch() + 1);
+    ports.log().event("leader-claim", mine.vm(), "epoch", mine.epoch(), "reason", reason);
+    TableCommit commit =
+        new TableCommit(
+            Rows.PART,
+            List.of(new Expected(Rows.LEADER, leaderVersion)),
+            List.of(
+                new Put(Rows.LEADER, Rows.encode(mine)),
+                new Put(Rows.HEAD, Rows.encode(new HeadRecord(mine.epoch(), 0)))),
+            List.of());
+    var unused = ports.store().commit(commit).subscribe(result -> claimed(mine, result));
+  }
+
+  private void claimed(LeaderRecord mine, CommitResult result) {
+    claiming = false;
+    switch (result.kind()) {
+      case DONE -> take(mine, result.version());
+      case CONFLICT -> read(result.current().stream().findFirst());
+      case REFUSED, UNKNOWN -> {
+        ports.log().event("leader-claim-failed", mine.vm(), "outcome", result.kind());
+        ports.timers().after(RETRY, this::readLeader);
+      }
+      default -> throw new IllegalStateException("kind: " + result.kind());
+    }
+  }
+
+  /** Reads the row of the leader beside the changes that are followed. */
+  void readLeader() {
+    var unused =
+        ports
+            .store()
+            .read(Rows.LEADER_TABLE, Rows.PART, "")
+            .subscribe(
+                page -> {
+                  read(page.rows().stream().findFirst());
+                  if (leader.isEmpty()) {
+                    suspect("no leader yet", Duration.ZERO);
+                  }
+                },
+                error -> ports.timers().after(RETRY, this::readLeader));
+  }
+
+  /** Another VM asks this one to take over. */
+  void invited(LeadCell invitation) {
+    if (invitation.epoch() >= epoch()) {
+      claim("invited: " + invitation.reason());
+    }
+  }
+}
--- /dev/null
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/lead/Vm.java
@@ -0,0 +1,600 @@
+package org.masticspread.cell.lead;
+
+import io.reactivex.rxjava3.core.Single;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Consumer;
+import org.masticspread.cell.engine.AdviceDesk;
+import org.masticspread.cell.engine.Cell;
+import org.masticspread.cell.engine.CellPorts;
+import org.masticspread.cell.journal.Journal;
+import org.masticspread.cell.journal.LeaderRecord;
+import org.masticspread.cell.journal.Rows;
+import org.masticspread.cell.journal.Term;
+import org.masticspread.cell.journal.VmRecord;
+import org.masticspread.cell.port.TableCommit;
+import org.masticspread.cell.port.TableCommit.Put;
+import org.masticspread.cell.port.TableCommit.RowName;
+import org.masticspread.cell.port.TableRow;
+import org.masticspread.cell.port.WorkerEntry;
+import org.masticspread.model.cell.CellConfig;
+import org.masticspread.model.id.VmId;
+import org.masticspread.model.peer.Acknowledged;
+import org.masticspread.model.peer.AdviceCall;
+import org.masticspread.model.peer.AdviceReply;
+import org.masticspread.model.peer.CellCall;
+import org.masticspread.model.peer.CellReply;
+import org.masticspread.model.peer.LeadCell;
+import org.masticspread.model.peer.PeerHandler;
+import org.masticspread.model.peer.PeerMessage;
+import org.masticspread.model.peer.VmProbe;
+import org.masticspread.model.peer.VmStatus;
+import org.masticspread.model.result.InvalidFieldException;
+import org.masticspread.model.result.ResultCode;
+
+/**
+ * One VM: it registers itself, follows the configuration and the leader, and leads the cell when it
+ * is its turn. All state is confined to the thread of {@link VmPorts#timers()}.
+ *
+ * <pre>{@code
+ * Vm vm = new Vm(ports, self);
+ * peers.listen(address, vm);
+ * vm.start();
+ * }</pre>
+ */
+public final class Vm implements PeerHandler {
+  /** How long a read of the store takes at most for a VM that reaches it well. */
+  private static final Duration STORE_CHECK = Duration.ofMillis(200);
+
+  /** A commit that has failed for so long may fail for this VM only. */
+  private static final Duration STORE_DOUBT = Duration.ofMillis(120);
+
+  /** Between two searches for a VM that reaches the store. */
+  private static final Duration SEARCH_EVERY = Duration.ofMillis(400);
+
+  /** An invited VM takes over within this; if it does not, this VM goes on. */
+  private static final Duration HANDOVER = Duration.ofMillis(1200);
+
+  /** A VM this much younger has just been restarted, and will not be again soon. */
+  private static final Duration YOUNGER = Duration.ofSeconds(2);
+
+  private final VmPorts ports;
+  private final Roster roster;
+  private final Leadership leadership;
+  private final long startedMillis;
+  private final TableFollower vms;
+  private final TableFollower leaders;
+  private final TableFollower operator;
+  private Optional<CellConfig> config = Optional.empty();
+  private Optional<Cell> cell = Optional.empty();
+  private Optional<TableFollower> registry = Optional.empty();
+  private Optional<Journal> journal = Optional.empty();
+  private long searchedMillis = Long.MIN_VALUE / 2;
+  private Consumer<CellConfig> configListener = newer -> {};
+
+  /**
+   * Creates a VM.
+   *
+   * @param ports what it works with
+   * @param self how it is known to its peers
+   */
+  public Vm(VmPorts ports, VmRecord self) {
+    this.ports = ports;
+    this.roster = new Roster(self, ports.clock());
+    this.startedMillis = ports.clock().millis();
+    this.leadership = new Leadership(ports, roster, new Owner());
+    this.vms = follower(Rows.VM_TABLE, Rows.PART, this::readVms);
+    this.leaders = follower(Rows.LEADER_TABLE, Rows.PART, this::readLeader);
+    this.operator =
+        follower(ports.operator().table(), ports.operator().part(), this::readConfig);
+  }
+
+  private TableFollower follower(String table, String part, TableFollower.Listener listener) {
+    return new TableFollower(
+        ports.store(), ports.timers(), ports.log(), table, part, listener);
+  }
+
+  /**
+   * Registers the VM and starts to follow.
+   *
+   * @param listener told of each newer configuration
+   */
+  public void start(Consumer<CellConfig> listener) {
+    configListener = listener;
+    operator.start();
+    register();
+    vms.start();
+    leaders.start();
+    leadership.start();
+  }
+
+  private void register() {
+    VmRecord self = roster.self();
+    TableCommit commit =
+        new TableCommit(
+            Rows.PART,
+            List.of(),
+            List.of(new Put(new RowName(Rows.VM_TABLE, self.vm()), Rows.encode(self))),
+            List.of());
+    var unused =
+        ports
+            .store()
+            .commit(commit)
+            .subscribe(
+                result -> {
+                  switch (result.kind()) {
+                    case DONE -> ports.log().event("vm-registered", self.vm(), "life", self.life());
+                    default -> ports.timers().after(STORE_CHECK, this::register);
+                  }
+                });
+  }
+
+  /**
+   * Returns the configuration.
+   *
+   * @return the newest one that this VM has; empty before the first
+   */
+  public Optional<CellConfig> config() {
+    return config;
+  }
+
+  /**
+   * Returns the address of another VM.
+   *
+   * @param vm the VM
+   * @return host and port, or empty if it is not registered
+   */
+  public Optional<String> address(VmId vm) {
+    return roster.find(vm.value()).map(VmRecord::address);
+  }
+
+  /**
+   * Returns the VM that leads the cell.
+   *
+   * @return the leader that this VM knows
+   */
+  public Optional<LeaderRecord> leader() {
+    return leadership.leader();
+  }
+
+  /**
+   * Tells whether a row names this life of this VM.
+   *
+   * @param record the row
+   * @return whether this VM leads by it
+   */
+  public boolean leads(LeaderRecord record) {
+    return record.life().equals(roster.self().life());
+  }
+
+  /**
+   * Returns the cell, if this VM leads it and has loaded it.
+   *
+   * @return the cell
+   */
+  public Optional<Cell> cell() {
+    return cell;
+  }
+
+  /**
+   * Tells whether this VM leads or hears the leader.
+   *
+   * @return whether calls can be carried
+   */
+  public boolean leaderReached() {
+    return cell.isPresent() || (!leadership.leading() && leadership.hearsLeader());
+  }
+
+  /** Tells that a call to the leader failed, so that it is looked at now. */
+  public void leaderCallFailed() {
+    leadership.readLeader();
+  }
+
+  /**
+   * Hands the cell over and stays a VM that forwards calls.
+   *
+   * @param done run when another VM leads, or none could be found in time
+   */
+  public void stop(Runnable done) {
+    leadership.stopping();
+    if (!leadership.leading()) {
+      done.run();
+      return;
+    }
+    ports.log().event("cell-handover", roster.self().vm(), "epoch", leadership.epoch());
+    cell.ifPresent(c -> c.pause(true));
+    awaitIdleJournal(done, ports.clock().millis() + HANDOVER.toMillis());
+  }
+
+  /** What has been decided is written before another VM reads it. */
+  private void awaitIdleJournal(Runnable done, long untilMillis) {
+    boolean idle = journal.map(Journal::idle).orElse(true);
+    if (!idle && ports.clock().millis() < untilMillis) {
+      ports.timers().after(Duration.ofMillis(5), () -> awaitIdleJournal(done, untilMillis));
+      return;
+    }
+    invite("stopping", false, () -> {});
+    awaitFollower(done, ports.clock().millis() + HANDOVER.toMillis());
+  }
+
+  private void awaitFollower(Runnable done, long untilMillis) {
+    if (leadership.leading() && ports.clock().millis() < untilMillis) {
+      ports.timers().after(Duration.ofMillis(20), () -> awaitFollower(done, untilMillis));
+      return;
+    }
+    done.run();
+  }
+
+  /** Drops the VM's row, so that no peer looks for it any more. */
+  public void unregister() {
+    RowName row = new RowName(Rows.VM_TABLE, roster.self().vm());
+    TableCommit commit = new TableCommit(Rows.PART, List.of(), List.of(), List.of(row));
+    var unused =
+        ports
+            .store()
+            .commit(commit)
+            .subscribe(
+                result ->
+                    ports.log().event("vm-unregistered", row.key(), "outcome", result.kind()));
+  }
+
+  @Override
+  public CompletionStage<PeerMessage> handle(VmId from, PeerMessage message) {
+    CompletableFuture<PeerMessage> answer = new CompletableFuture<>();
+    ports.timers().after(Duration.ZERO, () -> handle(from, message, answer));
+    return answer;
+  }
+
+  private void handle(VmId from, PeerMessage message, CompletableFuture<PeerMessage> answer) {
+    roster.heard(from.value());
+    if (message instanceof CellCall call) {
+      answer(call, answer::complete);
+    } else if (message instanceof AdviceCall call) {
+      var unused =
+          ports
+              .advisor()
+              .ask(call.step(), call.workers(), Duration.ofMillis(call.timeoutMillis()))
+              .subscribe(answer::complete, answer::completeExceptionally);
+    } else if (message instanceof VmProbe probe) {
+      answer(probe, answer);
+    } else if (message instanceof LeadCell invitation) {
+      leadership.invited(invitation);
+      answer.complete(new Acknowledged(ResultCode.OK));
+    } else {
+      answer.completeExceptionally(
+          new InvalidFieldException(
+              "message", message.getClass().getSimpleName(), "a message of a cell"));
+    }
+  }
+
+  /**
+   * Answers a call if this VM leads.
+   *
+   * @param call the call
+   * @param reply gets the answer
+   */
+  public void answer(CellCall call, Consumer<CellReply> reply) {
+    if (cell.isEmpty()) {
+      reply.accept(CellReply.of(CellReply.Outcome.NOT_LEADING, "epoch " + leadership.epoch()));
+      return;
+    }
+    if (call.configVersion() > configVersion()) {
+      operator.refresh();
+    }
+    cell.get().answer(call, reply);
+  }
+
+  private void answer(VmProbe probe, CompletableFuture<PeerMessage> answer) {
+    if (probe.configVersion() > configVersion()) {
+      operator.refresh();
+    }
+    if (probe.epoch() > leadership.epoch()) {
+      leadership.readLeader();
+    }
+    if (!probe.checkStore()) {
+      answer.complete(status(false));
+      return;
+    }
+    boolean[] answered = {false};
+    Consumer<Boolean> once =
+        reached -> {
+          if (!answered[0]) {
+            answered[0] = true;
+            answer.complete(status(reached));
+          }
+        };
+    ports.timers().after(STORE_CHECK, () -> once.accept(false));
+    var unused =
+        ports
+            .store()
+            .read(Rows.LEADER_TABLE, Rows.PART, "")
+            .subscribe(page -> once.accept(true), error -> once.accept(false));
+  }
+
+  private VmStatus status(boolean storeReached) {
+    return new VmStatus(
+        roster.self().life(),
+        leadership.leading(),
+        leadership.epoch(),
+        configVersion(),
+        leadership.hearsLeader(),
+        storeReached,
+        leadership.isStopping(),
+        ports.clock().millis() - startedMillis);
+  }
+
+  private long configVersion() {
+    return config.map(CellConfig::version).orElse(0L);
+  }
+
+  private void readVms(List<TableRow> rows, boolean all) {
+    List<String> names = new ArrayList<>();
+    for (TableRow row : rows) {
+      names.add(row.key());
+      if (row.deleted()) {
+        roster.remove(row.key());
+        continue;
+      }
+      try {
+        roster.put(Rows.decode(VmRecord.class, row.value()));
+      } catch (InvalidFieldException e) {
+        ports.log().event("row-unreadable", row.key(), "reason", e.getMessage());
+      }
+    }
+    if (all) {
+      roster.retain(names);
+    }
+  }
+
+  private void readLeader(List<TableRow> rows, boolean all) {
+    if (all || !rows.isEmpty()) {
+      leadership.read(
+          rows.isEmpty() ? Optional.empty() : Optional.of(rows.get(rows.size() - 1)));
+    }
+  }
+
+  private void readConfig(List<TableRow> rows, boolean all) {
+    for (TableRow row : rows) {
+      ports.operator().decoder().apply(row).ifPresent(this::configure);
+    }
+  }
+
+  private void configure(CellConfig newer) {
+    if (newer.version() <= configVersion()) {
+      return;
+    }
+    ports
+        .log()
+        .event("config-applied", Long.toString(newer.version()), "before", configVersion(),
+            "queues", newer.queues().size());
+    config = Optional.of(newer);
+    configListener.accept(newer);
+    cell.ifPresent(c -> c.configure(newer));
+  }
+
+  private void load(Term term) {
+    drop();
+    CellLoader loader =
+        new CellLoader(
+            ports.store(), ports.timers(), ports.log(), () -> leadership.epoch() == term.epoch());
+    long begun = ports.clock().millis();
+    loader.load(jobs -> loaded(term, jobs, begun));
+  }
+
+  private void loaded(Term term, List<CellLoader.Stored> jobs, long begun) {
+    if (leadership.epoch() != term.epoch()) {
+      return;
+    }
+    if (config.isEmpty()) {
+      ports.timers().after(Duration.ofMillis(20), () -> loaded(term, jobs, begun));
+      return;
+    }
+    Journal fresh =
+        new Journal(
+            ports.store(), ports.timers(), ports.clock(), ports.log(), term, new Commits());
+    AdviceDesk desk = new AdviceDesk(this::advise, roster::heardLately, ports.clock());
+    Cell next =
+        new Cell(
+            new CellPorts(
+                term,
+                fresh,
+                ports.workers(),
+                desk,
+                ports.timers(),
+                ports.clock(),
+                ports.timeOfDay(),
+                ports.log(),
+                ports.metrics(),
+                ports.limits()),
+            config.get(),
+            leadership::readLeader);
+    jobs.forEach(job -> next.restore(job.record(), job.progress()));
+    journal = Optional.of(fresh);
+    TableFollower workers =
+        follower(
+            ports.registry().table(),
+            ports.registry().part(),
+            (rows, all) -> readWorkers(next, rows, all));
+    registry = Optional.of(workers);
+    workers.start();
+    ports
+        .log()
+        .event("cell-loaded", roster.self().vm(), "epoch", term.epoch(), "jobs", jobs.size(),
+            "tookMs", ports.clock().millis() - begun);
+    // Calls are answered once the workers are known: without them each job would be refused.
+    boolean[] opened = {false};
+    next.whenRegistered(
+        () -> {
+          if (!opened[0] && !next.closed()) {
+            opened[0] = true;
+            cell = Optional.of(next);
+            next.begin();
+          }
+        });
+  }
+
+  private void readWorkers(Cell target, List<TableRow> rows, boolean all) {
+    List<String> ids = new ArrayList<>();
+    for (TableRow row : rows) {
+      if (row.deleted()) {
+        target.unregister(row.key());
+        continue;
+      }
+      Optional<WorkerEntry> entry = ports.registry().decoder().apply(row);
+      entry.ifPresent(
+          worker -> {
+            ids.add(worker.id());
+            target.register(worker);
+          });
+    }
+    if (all) {
+      target.retain(ids);
+      target.registered();
+    }
+  }
+
+  private void drop() {
+    cell.ifPresent(Cell::close);
+    journal.ifPresent(Journal::close);
+    registry.ifPresent(TableFollower::close);
+    cell = Optional.empty();
+    journal = Optional.empty();
+    registry = Optional.empty();
+  }
+
+  private Single<AdviceReply> advise(
+      String vm, String step, List<String> workers, Duration timeout) {
+    if (vm.equals(roster.self().vm())) {
+      return ports.advisor().ask(step, workers, timeout);
+    }
+    AdviceCall call = new AdviceCall(step, workers, (int) timeout.toMillis());
+    return Single.create(
+        emitter ->
+            ports
+                .peers()
+                .call(VmId.of(vm), call, timeout)
+                .whenComplete(
+                    (answer, error) ->
+                        ports
+                            .timers()
+                            .after(
+                                Duration.ZERO,
+                                () ->
+                                    emitter.onSuccess(
+                                        answer instanceof AdviceReply reply
+                                            ? reply
+                                            : AdviceReply.NONE))));
+  }
+
+  /** Looks for a VM that takes over; prefers strong ones, and just restarted ones on a stop. */
+  private void invite(String reason, boolean mustReachStore, Runnable none) {
+    List<VmRecord> others = roster.others();
+    List<Candidate> candidates = new ArrayList<>();
+    int[] open = {others.size()};
+    if (others.isEmpty()) {
+      none.run();
+      return;
+    }
+    VmProbe probe = new VmProbe(mustReachStore, leadership.epoch(), configVersion());
+    for (VmRecord other : others) {
+      ports
+          .peers()
+          .call(VmId.of(other.vm()), probe, STORE_CHECK.multipliedBy(2))
+          .whenComplete(
+              (answer, error) ->
+                  ports
+                      .timers()
+                      .after(
+                          Duration.ZERO,
+                          () -> {
+                            if (answer instanceof VmStatus status
+                                && !status.stopping()
+                                && (status.storeReached() || !mustReachStore)) {
+                              candidates.add(new Candidate(other, status.upMillis()));
+                            }
+                            if (--open[0] == 0) {
+                              inviteBest(candidates, reason, none);
+                            }
+                          }));
+    }
+  }
+
+  private void inviteBest(List<Candidate> candidates, String reason, Runnable none) {
+    long up = ports.clock().millis() - startedMillis;
+    Comparator<Candidate> order =
+        Comparator.comparing((Candidate c) -> c.upMillis > up - YOUNGER.toMillis())
+            .thenComparing(c -> -c.vm.strength())
+            .thenComparing(c -> c.vm.vm());
+    Optional<Candidate> best = candidates.stream().min(order);
+    if (best.isEmpty() || !leadership.leading()) {
+      none.run();
+      return;
+    }
+    String vm = best.get().vm.vm();
+    ports.log().event("leader-invited", vm, "reason", reason, "epoch", leadership.epoch());
+    ports
+        .peers()
+        .call(VmId.of(vm), new LeadCell(leadership.epoch(), reason), HANDOVER)
+        .whenComplete(
+            (answer, error) -> {
+              if (error != null) {
+                ports.log().event("leader-invitation-failed", vm, "reason", error.getMessage());
+              }
+            });
+  }
+
+  private record Candidate(VmRecord vm, long upMillis) {}
+
+  /** Searches for a VM that reaches the store when this one, the leader, does not. */
+  private void storeDoubtful() {
+    long now = ports.clock().millis();
+    boolean doubtful =
+        journal.map(j -> j.failingFor().compareTo(STORE_DOUBT) >= 0).orElse(false);
+    if (!doubtful || now - searchedMillis < SEARCH_EVERY.toMillis()) {
+      return;
+    }
+    searchedMillis = now;
+    invite("store not reached", true, () -> {});
+  }
+
+  private final class Owner implements Leadership.Owner {
+    @Override
+    public void lead(Term term) {
+      load(term);
+    }
+
+    @Override
+    public void follow(LeaderRecord leader) {
+      drop();
+    }
+
+    @Override
+    public long configVersion() {
+      return Vm.this.configVersion();
+    }
+
+    @Override
+    public void configBehind() {
+      operator.refresh();
+    }
+  }
+
+  private final class Commits implements Journal.Listener {
+    @Override
+    public void deposed() {
+      leadership.readLeader();
+    }
+
+    @Override
+    public void storeReached(boolean reached) {
+      if (!reached) {
+        storeDoubtful();
+      }
+    }
+  }
+}
--- /dev/null
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/policy/Admission.java
@@ -0,0 +1,78 @@
+package org.masticspread.cell.policy;
+
+import java.time.Duration;
+
+/**
+ * Accepts a job, or refuses it at once if it would end too late to be of use.
+ *
+ * <p>Answers bursts beyond the capacity: what cannot be done in time is refused while its caller
+ * can still do something else, and told when the backlog will have drained.
+ */
+public final class Admission {
+  /** The part of the capacity that placements reach; the rest is lost to fragments and gangs. */
+  private static final double USABLE_SHARE = 0.75;
+
+  /** A retry sooner than this would find the same backlog. */
+  private static final Duration SHORTEST_RETRY = Duration.ofSeconds(1);
+
+  /** A caller that is sent away for longer does not come back within the life of its job. */
+  private static final Duration LONGEST_RETRY = Duration.ofSeconds(20);
+
+  private Admission() {}
+
+  /**
+   * What a decision rests on.
+   *
+   * @param capacityMillicores what all usable workers do, at their learned speeds
+   * @param aheadCoreMillis work that goes before the job: running, or waiting at its priority or a
+   *     more urgent one
+   * @param workCoreMillis the work of the job
+   * @param path the time that the job takes on idle workers
+   * @param objective the time within which the caller wants it done
+   */
+  public record Facts(
+      long capacityMillicores,
+      long aheadCoreMillis,
+      long workCoreMillis,
+      Duration path,
+      Duration objective) {}
+
+  /**
+   * A decision.
+   *
+   * @param accepted whether to accept the job
+   * @param expected when it would be done
+   * @param retryAfter when to come back, for a refusal; else zero
+   */
+  public record Decision(boolean accepted, Duration expected, Duration retryAfter) {}
+
+  /**
+   * Decides.
+   *
+   * @param facts the facts
+   * @return the decision
+   */
+  public static Decision decide(Facts facts) {
+    Duration wait = waitFor(facts);
+    Duration expected = wait.plus(facts.path);
+    if (facts.capacityMillicores > 0 && expected.compareTo(facts.objective) <= 0) {
+      return new Decision(true, expected, Duration.ZERO);
+    }
+    return new Decision(false, expected, retryAfter(expected.minus(facts.objective)));
+  }
+
+  private static Duration waitFor(Facts facts) {
+    if (facts.capacityMillicores <= 0) {
+      return LONGEST_RETRY;
+    }
+    double perMillisecond = facts.capacityMillicores / 1000.0 * USABLE_SHARE;
+    return Duration.ofMillis((long) (facts.aheadCoreMillis / perMillisecond));
+  }
+
+  private static Duration retryAfter(Duration excess) {
+    if (excess.compareTo(SHORTEST_RETRY) < 0) {
+      return SHORTEST_RETRY;
+    }
+    return excess.compareTo(LONGEST_RETRY) > 0 ? LONGEST_RETRY : excess;
+  }
+}
--- /dev/null
+++ b/masticspread-model/src/main/java/org/masticspread/model/cell/CellConfig.java
@@ -0,0 +1,67 @@
+package org.masticspread.model.cell;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * One version of the operator's configuration.
+ *
+ * @param version rises with each change
+ * @param queues the queues
+ * @param endpoints the endpoints
+ * @param mostBodyBytes the largest body of a call, in bytes
+ * @param idleTimeout after which an unused connection of a caller is closed
+ */
+public record CellConfig(
+    long version,
+    List<QueueRule> queues,
+    List<EndpointRule> endpoints,
+    int mostBodyBytes,
+    Duration idleTimeout) {
+
+  /** Copies the lists. */
+  public CellConfig {
+    queues = List.copyOf(queues);
+    endpoints = List.copyOf(endpoints);
+  }
+
+  /**
+   * Finds the queue of a call: the longest prefix of the path wins.
+   *
+   * @param host the host that the caller names, without a port
+   * @param path the path
+   * @return the queue, or empty if none matches
+   */
+  public Optional<QueueRule> match(String host, String path) {
+    QueueRule best = null;
+    for (QueueRule queue : queues) {
+      boolean longer =
+          best == null || queue.pathPrefix().length() > best.pathPrefix().length();
+      if (longer && queue.host().equalsIgnoreCase(host) && path.startsWith(queue.pathPrefix())) {
+        best = queue;
+      }
+    }
+    return Optional.ofNullable(best);
+  }
+
+  /**
+   * Finds a queue by its name.
+   *
+   * @param name the name
+   * @return the queue, or empty if this version has none of that name
+   */
+  public Optional<QueueRule> queue(String name) {
+    return queues.stream().filter(queue -> queue.name().equals(name)).findFirst();
+  }
+
+  /**
+   * Finds an endpoint by its name.
+   *
+   * @param name the name
+   * @return the endpoint, or empty if this version has none of that name
+   */
+  public Optional<EndpointRule> endpoint(String name) {
+    return endpoints.stream().filter(endpoint -> endpoint.name().equals(name)).findFirst();
+  }
+}
--- /dev/null
+++ b/masticspread-model/src/main/java/org/masticspread/model/peer/AdviceCall.java
@@ -0,0 +1,20 @@
+package org.masticspread.model.peer;
+
+import java.util.List;
+
+/**
+ * Asks a VM to call the advisor, which serves one call at a time of each VM. Answered by {@link
+ * AdviceReply}.
+ *
+ * @param step the step, as the advisor names it
+ * @param workers the workers to ask about
+ * @param timeoutMillis how long to wait for the advisor
+ */
+public record AdviceCall(String step, List<String> workers, int timeoutMillis)
+    implements PeerMessage {
+
+  /** Copies the list. */
+  public AdviceCall {
+    workers = List.copyOf(workers);
+  }
+}
--- /dev/null
+++ b/masticspread-model/src/main/java/org/masticspread/model/peer/VmProbe.java
@@ -0,0 +1,10 @@
+package org.masticspread.model.peer;
+
+/**
+ * Asks a VM what it is and what it reaches. Answered by {@link VmStatus}.
+ *
+ * @param checkStore whether the VM is to read from the store before it answers
+ * @param epoch the newest epoch of leadership that the sender has heard of
+ * @param configVersion the newest configuration that the sender has
+ */
+public record VmProbe(boolean checkStore, long epoch, long configVersion) implements PeerMessage {}
--- /dev/null
+++ b/masticspread-model/src/main/java/org/masticspread/model/peer/VmStatus.java
@@ -0,0 +1,24 @@
+package org.masticspread.model.peer;
+
+/**
+ * What a VM knows of itself.
+ *
+ * @param life its incarnation, new with each start of the process
+ * @param leading whether it leads the cell
+ * @param epoch the newest epoch of leadership that it has heard of
+ * @param configVersion the newest configuration that it has
+ * @param hearsLeader whether it has had an answer of the leader lately
+ * @param storeReached whether the store answered the read asked for
+ * @param stopping whether it is about to stop
+ * @param upMillis for how long the process has run
+ */
+public record VmStatus(
+    String life,
+    boolean leading,
+    long epoch,
+    long configVersion,
+    boolean hearsLeader,
+    boolean storeReached,
+    boolean stopping,
+    long upMillis)
+    implements PeerMessage {}
--- a/masticspread-wire/src/main/java/org/masticspread/wire/MessageTypes.java
+++ b/masticspread-wire/src/main/java/org/masticspread/wire/MessageTypes.java
@@ -7,8 +7,12 @@
 import java.util.stream.Collectors;
 import org.masticspread.codec.Mappers;
 import org.masticspread.model.peer.Acknowledged;
+import org.masticspread.model.peer.AdviceCall;
+import org.masticspread.model.peer.AdviceReply;
 import org.masticspread.model.peer.AskInFlight;
 import org.masticspread.model.peer.CancelJob;
+import org.masticspread.model.peer.CellCall;
+import org.masticspread.model.peer.CellReply;
 import org.masticspread.model.peer.ConfigFetched;
 import org.masticspread.model.peer.Digest;
 import org.masticspread.model.peer.Explain;
@@ -18,6 +22,7 @@
 import org.masticspread.model.peer.InFlight;
 import org.masticspread.model.peer.JobAnswered;
 import org.masticspread.model.peer.JobsListed;
+import org.masticspread.model.peer.LeadCell;
 import org.masticspread.model.peer.ListJobs;
 import org.masticspread.model.peer.PeerMessage;
 import org.masticspread.model.peer.PlaceTasks;
@@ -34,6 +39,8 @@
 import org.masticspread.model.peer.SubmitJob;
 import org.masticspread.model.peer.TasksAcknowledged;
 import org.masticspread.model.peer.TasksPlaced;
+import org.masticspread.model.peer.VmProbe;
+import org.masticspread.model.peer.VmStatus;
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessageUnpacker;
 
@@ -73,7 +80,14 @@
           entry(123, FetchConfig.class),
           entry(124, ConfigFetched.class),
           entry(125, Explain.class),
-          entry(126, Explained.class));
+          entry(126, Explained.class),
+          entry(128, CellCall.class),
+          entry(129, CellReply.class),
+          entry(130, AdviceCall.class),
+          entry(131, AdviceReply.class),
+          entry(132, VmProbe.class),
+          entry(133, VmStatus.class),
+          entry(134, LeadCell.class));
 
   private static final Map<Class<?>, Integer> NUMBERS =
       TYPES.entrySet().stream().collect(Collectors.toMap(Map.Entry::getValue, Map.Entry::getKey));
