--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Reports.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Reports.java
@@ -247,12 +247,12 @@
   /** A run that is not listed is over, if it was confirmed before the list was asked for. */
   private void unlisted(Run run, long sentMillis) {
     if (run.stopConfirmedMillis >= 0) {
-      if (run.stopConfirmedMillis <= sentMillis) {
+      if (run.stopConfirmedMillis < sentMillis) {
         cell.over(run, "stopped");
       }
       return;
     }
-    if (run.sinceMillis > sentMillis || run.phase == Run.Phase.STARTING) {
+    if (run.sinceMillis >= sentMillis || run.phase == Run.Phase.STARTING) {
       return;
     }
     if (run.phase == Run.Phase.RUNNING) {
