--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Cell.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Cell.java
@@ -89,7 +89,6 @@
   private boolean paused;
   private boolean passScheduled;
   private long ticks;
-  private Runnable afterRegistry = () -> {};
 
   /** The calls that wait for something to become durable. */
   private final Set<Consumer<CellReply>> waiting = new LinkedHashSet<>();
@@ -145,20 +144,6 @@
     return closed;
   }
 
-  /**
-   * Runs an action once the registry was read.
-   *
-   * @param action the action
-   */
-  public void whenRegistered(Runnable action) {
-    afterRegistry = action;
-  }
-
-  /** The registry was read whole. */
-  public void registered() {
-    afterRegistry.run();
-  }
-
   /**
    * Starts no new task while paused, as while another VM takes over.
    *
@@ -319,7 +304,8 @@
           .log()
           .event("job-accept", order.id(), "queue", order.queue(), "expectedMs",
               decision.expected().toMillis(), "objectiveMs", facts.objective().toMillis(),
-              "aheadCoreMs", facts.aheadCoreMillis(), "capacity", facts.capacityMillicores());
+              "waitingCoreMs", facts.waitingCoreMillis(), "freeMillicores",
+              facts.freeMillicores(), "capacityMillicores", facts.capacityMillicores());
       return true;
     }
     ports.metrics().counter("refused.backlog").inc();
--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Fleet.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Fleet.java
@@ -106,4 +106,13 @@
     }
     return (long) sum;
   }
+
+  /** Returns the speed-weighted free capacity of the usable workers of an endpoint. */
+  long freeMillicores(String endpoint) {
+    double sum = 0;
+    for (Worker worker : usable(endpoint)) {
+      sum += worker.free().millicores() * worker.speed();
+    }
+    return (long) sum;
+  }
 }
--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Reports.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Reports.java
@@ -168,8 +168,13 @@
     if (step.spec.lasting()) {
       return;
     }
+    if (end.run() <= task.lastFailedRun) {
+      ports.log().event("task-failure-known", task.name, "run", end.run());
+      return;
+    }
+    task.lastFailedRun = end.run();
     task.failures++;
-    if (step.spec.gang() && step.lastFailedGangRun != end.run()) {
+    if (step.spec.gang() && step.lastFailedGangRun < end.run()) {
       step.lastFailedGangRun = end.run();
       step.gangFailures++;
     }
--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Scheduler.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Scheduler.java
@@ -350,53 +350,61 @@
   /** Returns what the admission of a job rests on. */
   Admission.Facts facts(JobOrder order, QueueRule queue) {
     double bias = fleet.speeds.bias(queue.name());
-    Job job = new Job(order, cell.timeOfDay(), ports.term().epoch(), now());
-    long path = job.pathMillis(bias);
-    long work = 0;
+    long path = new Job(order, cell.timeOfDay(), ports.term().epoch(), now()).pathMillis(bias);
+    long width = 0;
     for (StepSpec step : order.steps()) {
-      work += (long) (step.coreMillis() * bias);
+      width = Math.max(width, step.tasks() * step.booked().millicores());
     }
     long advice =
         queue.advice().map(rule -> rule.callTime(ASKED_AT_LEAST).toMillis()).orElse(0L);
     long objective = (long) (queue.stretch() * path) + queue.target().toMillis();
+    Backlog backlog = backlog(queue);
     return new Admission.Facts(
         fleet.capacityMillicores(queue.endpoint()),
-        ahead(queue),
-        work,
+        fleet.freeMillicores(queue.endpoint()),
+        backlog.waitingMillicores,
+        (long) backlog.waitingCoreMillis,
+        (long) backlog.runningCoreMillis,
+        width,
         Duration.ofMillis(path + advice),
         Duration.ofMillis(objective));
   }
 
-  private long ahead(QueueRule queue) {
-    double ahead = 0;
+  /** What waits at the priority of a queue or before it, and all that runs. */
+  private Backlog backlog(QueueRule queue) {
+    Backlog backlog = new Backlog();
     for (Job job : jobs.open()) {
       Optional<QueueRule> other = cell.queue(job);
-      boolean before =
-          other.isPresent()
-              && other.get().priority() <= queue.priority()
-              && other.get().endpoint().equals(queue.endpoint());
-      if (before) {
-        ahead += left(job) * fleet.speeds.bias(other.get().name());
+      if (other.isPresent() && other.get().endpoint().equals(queue.endpoint())) {
+        boolean before = other.get().priority() <= queue.priority();
+        backlog.add(job, fleet.speeds.bias(other.get().name()), before);
       }
     }
-    return (long) ahead;
+    return backlog;
   }
 
-  /** Returns the core-milliseconds of a job's tasks that have not run, by the estimates. */
-  private static double left(Job job) {
-    double left = 0;
-    for (List<Step> steps : job.occurrences.values()) {
-      for (Step step : steps) {
-        double each =
-            step.spec.demand().millicores() / 1000.0 * step.spec.estimate().toMillis();
-        for (Task task : step.tasks) {
-          if (!task.succeeded) {
-            left += task.run == null ? each : each * (100 - task.run.percent) / 100;
+  private static final class Backlog {
+    private long waitingMillicores;
+    private double waitingCoreMillis;
+    private double runningCoreMillis;
+
+    void add(Job job, double bias, boolean before) {
+      for (List<Step> steps : job.occurrences.values()) {
+        for (Step step : steps) {
+          long millicores = step.spec.booked().millicores();
+          double each = millicores / 1000.0 * step.spec.estimate().toMillis() * bias;
+          boolean ready = job.ready(step);
+          for (Task task : step.tasks) {
+            if (task.run != null) {
+              runningCoreMillis += each * (100 - task.run.percent) / 100;
+            } else if (!task.succeeded && before) {
+              waitingCoreMillis += each;
+              waitingMillicores += ready ? millicores : 0;
+            }
           }
         }
       }
     }
-    return left;
   }
 
   private long now() {
--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Step.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Step.java
@@ -75,14 +75,14 @@
     for (Task task : tasks) {
       bits.set(task.index, task.succeeded);
       if (task.failures > 0) {
-        failures.add(new Failures(task.index, task.failures));
+        failures.add(new Failures(task.index, task.failures, task.lastFailedRun));
       }
       if (!task.checkpoint.isEmpty() && !task.succeeded) {
         checkpoints.add(new Checkpoint(task.index, task.checkpoint));
       }
     }
     return new StepRecord(
-        occurrence, number, bits.toByteArray(), gangFailures, failures, checkpoints);
+        occurrence, number, bits.toByteArray(), gangFailures, lastFailedGangRun, failures, checkpoints);
   }
 
   void restore(StepRecord saved) {
@@ -93,8 +93,10 @@
       }
     }
     gangFailures = saved.gangFailures();
+    lastFailedGangRun = saved.lastFailedGangRun();
     for (Failures failed : saved.failures()) {
       tasks.get(failed.task()).failures = failed.count();
+      tasks.get(failed.task()).lastFailedRun = failed.lastRun();
     }
     for (Checkpoint point : saved.checkpoints()) {
       tasks.get(point.task()).checkpoint = point.value();
--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Task.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Task.java
@@ -6,6 +6,10 @@
   final int index;
   final String name;
   int failures;
+
+  /** The newest run that counts as a failure. */
+  long lastFailedRun;
+
   boolean succeeded;
   String checkpoint = "";
   long lastRun;
--- a/masticspread-cell/src/main/java/org/masticspread/cell/journal/ProgressRecord.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/journal/ProgressRecord.java
@@ -23,6 +23,7 @@
    * @param step the number of the step
    * @param succeeded the tasks that succeeded, as the bytes of a bit set
    * @param gangFailures how many runs of the gang have failed
+   * @param lastFailedGangRun the newest of these runs; an end may be told again after a takeover
    * @param failures how often tasks have failed
    * @param checkpoints the newest checkpoints
    */
@@ -31,6 +32,7 @@
       int step,
       byte[] succeeded,
       int gangFailures,
+      long lastFailedGangRun,
       List<Failures> failures,
       List<Checkpoint> checkpoints) {
     /** Copies the lists. */
@@ -45,8 +47,9 @@
    *
    * @param task its index
    * @param count how often
+   * @param lastRun the newest run that failed; an end may be told again after a takeover
    */
-  public record Failures(int task, int count) {}
+  public record Failures(int task, int count, long lastRun) {}
 
   /**
    * A checkpoint of a task.
--- a/masticspread-cell/src/main/java/org/masticspread/cell/lead/CellLoader.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/lead/CellLoader.java
@@ -45,22 +45,28 @@
   /** Reads all jobs; the consumer is not called once they are not wanted any more. */
   void load(Consumer<List<Stored>> loaded) {
     Map<String, ProgressRecord> progress = new HashMap<>();
-    List<Stored> jobs = new ArrayList<>();
+    List<JobRecord> jobs = new ArrayList<>();
+    int[] open = {2};
+    Runnable done =
+        () -> {
+          if (--open[0] == 0) {
+            loaded.accept(join(jobs, progress));
+          }
+        };
     readAll(
         Rows.PROGRESS_TABLE,
         "",
         row -> decode(ProgressRecord.class, row).ifPresent(p -> progress.put(row.key(), p)),
-        () ->
-            readAll(
-                Rows.JOB_TABLE,
-                "",
-                row ->
-                    decode(JobRecord.class, row)
-                        .ifPresent(
-                            job ->
-                                jobs.add(
-                                    new Stored(job, Optional.ofNullable(progress.get(row.key()))))),
-                () -> loaded.accept(jobs)));
+        done);
+    readAll(Rows.JOB_TABLE, "", row -> decode(JobRecord.class, row).ifPresent(jobs::add), done);
+  }
+
+  private static List<Stored> join(List<JobRecord> jobs, Map<String, ProgressRecord> progress) {
+    List<Stored> stored = new ArrayList<>();
+    for (JobRecord job : jobs) {
+      stored.add(new Stored(job, Optional.ofNullable(progress.get(job.order().id()))));
+    }
+    return stored;
   }
 
   private void readAll(String table, String from, Consumer<TableRow> each, Runnable then) {
--- a/masticspread-cell/src/main/java/org/masticspread/cell/lead/Leadership.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/lead/Leadership.java
@@ -50,6 +50,9 @@
   /** A leader that has won but does not say so yet, or has just given up. */
   private static final Duration NOT_LEADING_GRACE = Duration.ofMillis(1200);
 
+  /** A leader that stops hands over by itself; the store may be slow meanwhile. */
+  private static final Duration HANDOVER_GRACE = Duration.ofMillis(3500);
+
   private static final Duration RETRY = Duration.ofMillis(150);
 
   /** What the leadership asks of its owner. */
@@ -192,10 +195,11 @@
         owner.configBehind();
       }
       long now = ports.clock().millis();
+      misses = 0;
+      Duration grace = status.leading() ? HANDOVER_GRACE : NOT_LEADING_GRACE;
       if (status.leading() && !status.stopping()) {
-        misses = 0;
         heardMillis = now;
-      } else if (now - heardMillis > NOT_LEADING_GRACE.toMillis()) {
+      } else if (now - heardMillis > grace.toMillis()) {
         suspect("it does not lead", Duration.ZERO);
       }
       return;
--- a/masticspread-cell/src/main/java/org/masticspread/cell/lead/Vm.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/lead/Vm.java
@@ -60,6 +60,9 @@
   /** An invited VM takes over within this; if it does not, this VM goes on. */
   private static final Duration HANDOVER = Duration.ofMillis(1200);
 
+  /** Between two looks whether all is read that a cell begins with. */
+  private static final Duration LOAD_PAUSE = Duration.ofMillis(10);
+
   /** A VM this much younger has just been restarted, and will not be again soon. */
   private static final Duration YOUNGER = Duration.ofSeconds(2);
 
@@ -383,28 +386,45 @@
         new CellLoader(
             ports.store(), ports.timers(), ports.log(), () -> leadership.epoch() == term.epoch());
     long begun = ports.clock().millis();
-    loader.load(jobs -> loaded(term, jobs, begun));
+    List<WorkersRead> early = new ArrayList<>();
+    TableFollower workers =
+        follower(
+            ports.registry().table(),
+            ports.registry().part(),
+            (rows, all) -> {
+              if (cell.isPresent()) {
+                readWorkers(cell.get(), rows, all);
+              } else {
+                early.add(new WorkersRead(rows, all));
+              }
+            });
+    registry = Optional.of(workers);
+    workers.start();
+    loader.load(jobs -> loaded(term, jobs, early, begun));
   }
 
-  private void loaded(Term term, List<CellLoader.Stored> jobs, long begun) {
+  private record WorkersRead(List<TableRow> rows, boolean all) {}
+
+  /** Begins once jobs, workers and configuration are read: without workers each job is refused. */
+  private void loaded(
+      Term term, List<CellLoader.Stored> jobs, List<WorkersRead> workers, long begun) {
     if (leadership.epoch() != term.epoch()) {
       return;
     }
-    if (config.isEmpty()) {
-      ports.timers().after(Duration.ofMillis(20), () -> loaded(term, jobs, begun));
+    if (config.isEmpty() || workers.isEmpty()) {
+      ports.timers().after(LOAD_PAUSE, () -> loaded(term, jobs, workers, begun));
       return;
     }
     Journal fresh =
         new Journal(
             ports.store(), ports.timers(), ports.clock(), ports.log(), term, new Commits());
-    AdviceDesk desk = new AdviceDesk(this::advise, roster::heardLately, ports.clock());
     Cell next =
         new Cell(
             new CellPorts(
                 term,
                 fresh,
                 ports.workers(),
-                desk,
+                new AdviceDesk(this::advise, roster::heardLately, ports.clock()),
                 ports.timers(),
                 ports.clock(),
                 ports.timeOfDay(),
@@ -415,27 +435,13 @@
             leadership::readLeader);
     jobs.forEach(job -> next.restore(job.record(), job.progress()));
     journal = Optional.of(fresh);
-    TableFollower workers =
-        follower(
-            ports.registry().table(),
-            ports.registry().part(),
-            (rows, all) -> readWorkers(next, rows, all));
-    registry = Optional.of(workers);
-    workers.start();
+    workers.forEach(read -> readWorkers(next, read.rows(), read.all()));
+    cell = Optional.of(next);
+    next.begin();
     ports
         .log()
         .event("cell-loaded", roster.self().vm(), "epoch", term.epoch(), "jobs", jobs.size(),
             "tookMs", ports.clock().millis() - begun);
-    // Calls are answered once the workers are known: without them each job would be refused.
-    boolean[] opened = {false};
-    next.whenRegistered(
-        () -> {
-          if (!opened[0] && !next.closed()) {
-            opened[0] = true;
-            cell = Optional.of(next);
-            next.begin();
-          }
-        });
   }
 
   private void readWorkers(Cell target, List<TableRow> rows, boolean all) {
@@ -454,7 +460,6 @@
     }
     if (all) {
       target.retain(ids);
-      target.registered();
     }
   }
 
--- a/masticspread-cell/src/main/java/org/masticspread/cell/policy/Admission.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/policy/Admission.java
@@ -24,16 +24,21 @@
    * What a decision rests on.
    *
    * @param capacityMillicores what all usable workers do, at their learned speeds
-   * @param aheadCoreMillis work that goes before the job: running, or waiting at its priority or a
-   *     more urgent one
-   * @param workCoreMillis the work of the job
+   * @param freeMillicores what of it is free
+   * @param waitingMillicores what the tasks that wait at the job's priority or before it need
+   * @param waitingCoreMillis their work
+   * @param runningCoreMillis the work that is left of what runs
+   * @param widthMillicores what the widest step of the job needs
    * @param path the time that the job takes on idle workers
    * @param objective the time within which the caller wants it done
    */
   public record Facts(
       long capacityMillicores,
-      long aheadCoreMillis,
-      long workCoreMillis,
+      long freeMillicores,
+      long waitingMillicores,
+      long waitingCoreMillis,
+      long runningCoreMillis,
+      long widthMillicores,
       Duration path,
       Duration objective) {}
 
@@ -61,12 +66,25 @@
     return new Decision(false, expected, retryAfter(expected.minus(facts.objective)));
   }
 
+  /** A job that fits into what is free beside what waits starts at once. */
   private static Duration waitFor(Facts facts) {
     if (facts.capacityMillicores <= 0) {
       return LONGEST_RETRY;
     }
-    double perMillisecond = facts.capacityMillicores / 1000.0 * USABLE_SHARE;
-    return Duration.ofMillis((long) (facts.aheadCoreMillis / perMillisecond));
+    if (facts.waitingMillicores + facts.widthMillicores <= facts.freeMillicores * USABLE_SHARE) {
+      return Duration.ZERO;
+    }
+    double perMillisecond = facts.capacityMillicores / 1000.0;
+    double drain = facts.waitingCoreMillis / (perMillisecond * USABLE_SHARE);
+    return Duration.ofMillis((long) (drain + untilRoom(facts)));
+  }
+
+  /** What runs ends at a steady rate; the job needs a part of it. */
+  private static double untilRoom(Facts facts) {
+    double busyMillicores = Math.max(1, facts.capacityMillicores - facts.freeMillicores);
+    double meanLeftMillis = facts.runningCoreMillis * 1000.0 / busyMillicores;
+    double needed = Math.max(0, facts.widthMillicores - facts.freeMillicores);
+    return Math.min(1, needed / busyMillicores) * 2 * meanLeftMillis;
   }
 
   private static Duration retryAfter(Duration excess) {
