--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Cell.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Cell.java
@@ -69,6 +69,12 @@
   /** A worker that left the registry and does not answer is dropped after this. */
   private static final Duration DROP_AFTER = Duration.ofSeconds(10);
 
+  /** A commit without an answer for so long: a job handed in now could not be stored in time. */
+  private static final Duration STORE_AWAY = Duration.ofMillis(700);
+
+  /** When a caller may come back that was refused since the store is away. */
+  private static final Duration STORE_RETRY = Duration.ofMillis(1500);
+
   /** How long a call waits for a configuration that its sender has already seen. */
   private static final Duration CONFIG_WAIT = Duration.ofMillis(40);
 
@@ -275,6 +281,11 @@
         refuse(order, reply, Duration.ofSeconds(1), "no such queue");
         return;
       }
+      if (ports.journal().stalledFor().compareTo(STORE_AWAY) >= 0) {
+        ports.metrics().counter("refused.store").inc();
+        refuse(order, reply, STORE_RETRY, "the store does not answer");
+        return;
+      }
       if (!admit(order, queue.get(), reply)) {
         return;
       }
@@ -421,7 +432,9 @@
             && worker.seenEnd == worker.acknowledgedEnd;
     worker.renewSoon = false;
     OptionalLong leaseEnd = OptionalLong.empty();
-    if (worker.heard) {
+    if (worker.heard && worker.failedRenewals == 0) {
+      // A worker that does not answer is only looked at: each lease that may have reached it would
+      // put off the time at which its tasks have certainly lapsed.
       long end = worker.leaseEnd(now(), leaseMillis());
       worker.leaseUntilMillis = Math.max(worker.leaseUntilMillis, end);
       leaseEnd = OptionalLong.of(end);
--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Scheduler.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Scheduler.java
@@ -36,6 +36,9 @@
 
   private static final int ASKED_AT_LEAST = 8;
 
+  /** Members of a broken gang end by themselves sooner than this. */
+  private static final Duration PARTIAL_GANG = Duration.ofMillis(600);
+
   /** Gangs whose tickets are kept fresh and whose workers are kept free while they wait. */
   private static final int GANGS_AHEAD = 2;
 
@@ -87,6 +90,9 @@
         if (step.done() || !job.ready(step) || !due(step)) {
           continue;
         }
+        if (step.spec.gang()) {
+          watchPartialGang(step);
+        }
         boolean startable =
             step.spec.gang()
                 ? !step.anyRun()
@@ -101,6 +107,28 @@
     }
   }
 
+  /**
+   * A gang of which only some members run, as after a change of the leader, never begins: it is
+   * stopped, to start anew.
+   */
+  private void watchPartialGang(Step step) {
+    boolean partial = step.anyRun() && step.tasks.stream().anyMatch(Task::waiting);
+    if (!partial) {
+      step.partialSinceMillis = -1;
+      return;
+    }
+    if (step.partialSinceMillis < 0) {
+      step.partialSinceMillis = now();
+    }
+    if (now() - step.partialSinceMillis >= PARTIAL_GANG.toMillis()) {
+      for (Task member : step.tasks) {
+        if (member.run != null && !member.run.stopWanted) {
+          launcher.stop(member.run, "the gang is not complete");
+        }
+      }
+    }
+  }
+
   private boolean due(Step step) {
     return !step.job.order.recurrence().timed()
         || !cell.timeOfDay().isBefore(step.job.order.recurrence().due(step.occurrence));
--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Step.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Step.java
@@ -25,6 +25,9 @@
   boolean adviceInFlight;
   long adviceNotBeforeMillis;
 
+  /** Since when only some members of the gang have a run; negative if all or none have. */
+  long partialSinceMillis = -1;
+
   /** When all tasks it waits for had succeeded; negative before. */
   long readyAtMillis = -1;
 
--- a/masticspread-cell/src/main/java/org/masticspread/cell/gateway/Gateway.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/gateway/Gateway.java
@@ -22,6 +22,12 @@
   /** An attempt that takes longer is made again: the leader may be gone or cut off. */
   private static final Duration ATTEMPT = Duration.ofMillis(1200);
 
+  /**
+   * A call that is not answered after this is given back, so that its caller can try another VM: a
+   * change of the leader takes about a second.
+   */
+  private static final Duration LONGEST_TRIP = Duration.ofMillis(1400);
+
   /** Between two attempts while no VM leads. */
   private static final Duration PAUSE = Duration.ofMillis(40);
 
@@ -51,7 +57,8 @@
    *     none came in time
    */
   public void carry(CellCall call, Duration patience, Consumer<CellReply> reply) {
-    attempt(new Trip(call, ports.clock().millis() + patience.toMillis(), reply));
+    long most = Math.min(patience.toMillis(), LONGEST_TRIP.toMillis());
+    attempt(new Trip(call, ports.clock().millis() + most, reply));
   }
 
   private void attempt(Trip trip) {
--- a/masticspread-cell/src/main/java/org/masticspread/cell/journal/Journal.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/journal/Journal.java
@@ -74,6 +74,7 @@
   private long lastSequence;
   private long durableSequence;
   private boolean inFlight;
+  private long sentMillis;
   private boolean scheduled;
   private boolean closed;
   private long failingSinceMillis = -1;
@@ -154,6 +155,15 @@
         : Duration.ofMillis(clock.millis() - failingSinceMillis);
   }
 
+  /**
+   * Tells for how long the commit on its way has had no answer.
+   *
+   * @return the time; zero if none is on its way
+   */
+  public Duration stalledFor() {
+    return inFlight ? Duration.ofMillis(clock.millis() - sentMillis) : Duration.ZERO;
+  }
+
   /**
    * Tells whether all rows are written.
    *
@@ -191,6 +201,7 @@
     commits++;
     puts.add(new Put(Rows.HEAD, Rows.encode(new HeadRecord(term.epoch(), commits))));
     inFlight = true;
+    sentMillis = clock.millis();
     send(new Batch(sequence, puts, removals));
   }
 
--- a/masticspread-cell/src/main/java/org/masticspread/cell/lead/Leadership.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/lead/Leadership.java
@@ -30,6 +30,9 @@
   /** Between two probes of the leader: a killed leader is noticed after two. */
   private static final Duration PROBE_EVERY = Duration.ofMillis(250);
 
+  /** Failed calls do not set off probes more often than this. */
+  private static final Duration SHORTEST_PROBE = Duration.ofMillis(60);
+
   /** A healthy leader answers a probe within a few ms, a busy one within some tens. */
   private static final Duration PROBE_TIMEOUT = Duration.ofMillis(400);
 
@@ -79,6 +82,7 @@
   private long wonEpoch;
   private int misses;
   private long heardMillis = Long.MIN_VALUE / 2;
+  private long probedMillis = Long.MIN_VALUE / 2;
   private boolean suspecting;
   private boolean claiming;
   private boolean stopping;
@@ -151,6 +155,11 @@
       won(record.epoch(), version);
       return;
     }
+    if (record.vm().equals(roster.self().vm())) {
+      // An earlier life of this very VM, which has certainly ended.
+      ports.timers().after(Duration.ZERO, () -> claim("its former life led"));
+      return;
+    }
     heardMillis = ports.clock().millis();
     ports
         .log()
@@ -168,10 +177,17 @@
   }
 
   private void probe() {
-    if (leader.isPresent() && !leading()) {
+    probeNow();
+    ports.timers().after(PROBE_EVERY, this::probe);
+  }
+
+  /** Probes the leader beside the regular probes, as when a call to it has failed. */
+  void probeNow() {
+    long now = ports.clock().millis();
+    if (leader.isPresent() && !leading() && now - probedMillis >= SHORTEST_PROBE.toMillis()) {
+      probedMillis = now;
       probe(leader.get());
     }
-    ports.timers().after(PROBE_EVERY, this::probe);
   }
 
   private void probe(LeaderRecord record) {
--- a/masticspread-cell/src/main/java/org/masticspread/cell/lead/Vm.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/lead/Vm.java
@@ -54,6 +54,12 @@
   /** A commit that has failed for so long may fail for this VM only. */
   private static final Duration STORE_DOUBT = Duration.ofMillis(120);
 
+  /** A commit without an answer for so long; longer than on a store that is 50 times slower. */
+  private static final Duration STORE_STALL = Duration.ofMillis(520);
+
+  /** How often the leader looks at its commits. */
+  private static final Duration WATCH_EVERY = Duration.ofMillis(100);
+
   /** Between two searches for a VM that reaches the store. */
   private static final Duration SEARCH_EVERY = Duration.ofMillis(400);
 
@@ -114,6 +120,12 @@
     vms.start();
     leaders.start();
     leadership.start();
+    watchCommits();
+  }
+
+  private void watchCommits() {
+    storeDoubtful();
+    ports.timers().after(WATCH_EVERY, this::watchCommits);
   }
 
   private void register() {
@@ -195,7 +207,7 @@
 
   /** Tells that a call to the leader failed, so that it is looked at now. */
   public void leaderCallFailed() {
-    leadership.readLeader();
+    leadership.probeNow();
   }
 
   /**
@@ -559,7 +571,12 @@
   private void storeDoubtful() {
     long now = ports.clock().millis();
     boolean doubtful =
-        journal.map(j -> j.failingFor().compareTo(STORE_DOUBT) >= 0).orElse(false);
+        journal
+            .map(
+                j ->
+                    j.failingFor().compareTo(STORE_DOUBT) >= 0
+                        || j.stalledFor().compareTo(STORE_STALL) >= 0)
+            .orElse(false);
     if (!doubtful || now - searchedMillis < SEARCH_EVERY.toMillis()) {
       return;
     }
--- /dev/null
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/engine/CellTest.java
@@ -0,0 +1,458 @@
+package org.masticspread.cell.engine;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.masticspread.cell.testing.CellFixture;
+import org.masticspread.cell.testing.FakeTable.Fate;
+import org.masticspread.cell.testing.Jobs;
+import org.masticspread.model.cell.AdviceRule;
+import org.masticspread.model.cell.JobOrder;
+import org.masticspread.model.cell.JobState;
+import org.masticspread.model.peer.CellCall.Action;
+import org.masticspread.model.peer.CellReply;
+import org.masticspread.model.peer.CellReply.Outcome;
+import org.masticspread.model.resource.ResourceVector;
+
+/** A cell through its calls, on a store and workers in memory. */
+class CellTest {
+  private static final Duration SHORT = Duration.ofMillis(300);
+  private static final Duration LONG = Duration.ofSeconds(4);
+
+  private final CellFixture fixture =
+      new CellFixture(
+          Jobs.config(
+              Jobs.queue("checks", 0, Optional.empty()),
+              Jobs.queue(
+                  "layouts",
+                  1,
+                  Optional.of(
+                      new AdviceRule(
+                          Duration.ofMillis(10), Duration.ofMillis(1), Duration.ofSeconds(2))))));
+
+  @BeforeEach
+  void start() {
+    fixture.workers.add("w1", "r1", 4000);
+    fixture.workers.add("w2", "r1", 4000);
+    fixture.workers.add("w3", "r2", 4000);
+    fixture.lead();
+    pass(50);
+  }
+
+  @AfterEach
+  void should_never_break_a_promise() {
+    assertThat(fixture.workers.violations()).isEmpty();
+  }
+
+  private void pass(long millis) {
+    fixture.time.pass(Duration.ofMillis(millis));
+  }
+
+  private JobOrder job(String id, int tasks, long millicores, Duration runs, boolean gang) {
+    fixture.workers.describe(id, new ResourceVector(millicores, 1024, 0), runs);
+    return Jobs.job(id, Jobs.step(tasks, millicores, runs, gang));
+  }
+
+  @Nested
+  class Submit {
+    @Test
+    void should_run_a_job_to_its_end() {
+      // WHEN
+      CellReply reply = fixture.accept(job("a", 3, 1000, SHORT, false));
+      pass(1000);
+
+      // THEN
+      assertThat(reply.outcome()).isEqualTo(Outcome.ACCEPTED);
+      assertThat(fixture.state("a")).isEqualTo(JobState.SUCCEEDED);
+    }
+
+    @Test
+    void should_start_no_task_before_the_job_is_durable() {
+      // GIVEN
+      fixture.table.always(Fate.SILENT);
+
+      // WHEN
+      List<CellReply> replies = fixture.submit(job("a", 1, 1000, SHORT, false));
+      pass(600);
+
+      // THEN
+      assertThat(replies).isEmpty();
+      assertThat(fixture.workers.starts()).isEmpty();
+    }
+
+    @Test
+    void should_take_a_job_that_is_handed_in_twice_once() {
+      // GIVEN
+      JobOrder order = job("a", 1, 1000, SHORT, false);
+      fixture.accept(order);
+      pass(100);
+
+      // WHEN
+      CellReply again = fixture.accept(order);
+      pass(1000);
+
+      // THEN
+      assertThat(again.outcome()).isEqualTo(Outcome.ACCEPTED);
+      assertThat(fixture.startsOf("a.0.0.0")).isEqualTo(1);
+    }
+
+    @Test
+    void should_refuse_at_once_while_the_store_is_away() {
+      // GIVEN
+      fixture.table.always(Fate.SILENT);
+      fixture.submit(job("a", 1, 1000, SHORT, false));
+      pass(900);
+
+      // WHEN
+      List<CellReply> replies = fixture.submit(job("b", 1, 1000, SHORT, false));
+
+      // THEN
+      assertThat(replies).hasSize(1);
+      assertThat(replies.get(0).outcome()).isEqualTo(Outcome.REFUSED);
+      assertThat(replies.get(0).retryAfterMillis()).isGreaterThanOrEqualTo(1000);
+    }
+
+    @Test
+    void should_refuse_what_would_be_done_too_late() {
+      // GIVEN
+      for (int i = 0; i < 20; i++) {
+        fixture.submit(job("full" + i, 4, 4000, LONG, false));
+        pass(5);
+      }
+
+      // WHEN
+      CellReply reply = fixture.accept(job("late", 4, 4000, SHORT, false));
+
+      // THEN
+      assertThat(reply.outcome()).isEqualTo(Outcome.REFUSED);
+      pass(60_000);
+      assertThat(fixture.startsOf("late.0.0.0")).isZero();
+    }
+
+    @Test
+    void should_leave_a_call_uncertain_whose_leader_ends() {
+      // GIVEN
+      fixture.table.always(Fate.SILENT);
+      List<CellReply> replies = fixture.submit(job("a", 1, 1000, SHORT, false));
+      pass(100);
+
+      // WHEN
+      fixture.cell.close();
+
+      // THEN
+      assertThat(replies).extracting(CellReply::outcome).containsExactly(Outcome.UNCERTAIN);
+    }
+  }
+
+  @Nested
+  class Show {
+    @Test
+    void should_show_success_only_once_it_is_durable() {
+      // GIVEN
+      fixture.accept(job("a", 1, 1000, SHORT, false));
+      pass(100);
+      fixture.table.always(Fate.SILENT);
+
+      // WHEN
+      pass(500);
+
+      // THEN
+      assertThat(fixture.state("a")).isEqualTo(JobState.RUNNING);
+      fixture.table.always(Fate.DONE);
+      pass(1500);
+      assertThat(fixture.state("a")).isEqualTo(JobState.SUCCEEDED);
+    }
+
+    @Test
+    void should_not_know_a_job_that_nobody_submitted() {
+      // WHEN
+      List<CellReply> replies = fixture.call(Action.SHOW, "none", null);
+
+      // THEN
+      assertThat(replies).extracting(CellReply::outcome).containsExactly(Outcome.UNKNOWN_JOB);
+    }
+  }
+
+  @Nested
+  class Cancel {
+    @Test
+    void should_stop_what_runs_and_start_nothing_more() {
+      // GIVEN
+      fixture.accept(job("a", 8, 2000, LONG, false));
+      pass(500);
+      int started = fixture.workers.starts().size();
+
+      // WHEN
+      List<CellReply> replies = fixture.call(Action.CANCEL, "a", null);
+      pass(300);
+
+      // THEN
+      assertThat(replies).extracting(CellReply::outcome).containsExactly(Outcome.CANCELLED);
+      pass(10_000);
+      assertThat(fixture.workers.starts()).hasSize(started);
+      assertThat(fixture.state("a")).isEqualTo(JobState.CANCELLED);
+    }
+  }
+
+  @Nested
+  class Failures {
+    @Test
+    void should_fail_a_job_whose_task_failed_as_often_as_allowed() {
+      // GIVEN
+      List.of("w1", "w2", "w3").forEach(id -> fixture.workers.state(id).failsAll = true);
+
+      // WHEN
+      fixture.accept(job("a", 1, 1000, SHORT, false));
+      pass(20_000);
+
+      // THEN
+      assertThat(fixture.state("a")).isEqualTo(JobState.FAILED);
+      assertThat(fixture.startsOf("a.0.0.0")).isEqualTo(3);
+    }
+
+    @Test
+    void should_count_a_failure_once_that_the_next_leader_hears_again() {
+      // GIVEN a failure that is durable but not acknowledged when the leader changes
+      fixture.workers.state("w1").failsAll = true;
+      fixture.workers.state("w2").failsAll = true;
+      fixture.workers.state("w3").failsAll = true;
+      fixture.accept(job("a", 1, 1000, SHORT, false));
+      while (fixture.startsOf("a.0.0.0") < 2) {
+        pass(5);
+      }
+      fixture.cell.close();
+      for (int i = 0; i < 4; i++) {
+        fixture.lead();
+        pass(30);
+        fixture.cell.close();
+      }
+
+      // WHEN
+      fixture.lead();
+      pass(30_000);
+
+      // THEN
+      assertThat(fixture.state("a")).isEqualTo(JobState.FAILED);
+      assertThat(fixture.startsOf("a.0.0.0")).isEqualTo(3);
+    }
+  }
+
+  @Nested
+  class UnknownStart {
+    @Test
+    void should_start_anew_what_certainly_did_not_start() {
+      // GIVEN
+      List.of("w1", "w2", "w3").forEach(id -> fixture.workers.state(id).losesNextStart = true);
+
+      // WHEN
+      fixture.accept(job("a", 1, 1000, SHORT, false));
+      pass(5000);
+
+      // THEN
+      assertThat(fixture.state("a")).isEqualTo(JobState.SUCCEEDED);
+    }
+
+    @Test
+    void should_not_start_elsewhere_what_a_worker_may_carry_out_late() {
+      // GIVEN
+      List.of("w1", "w2", "w3")
+          .forEach(id -> fixture.workers.state(id).nextStartLate = Duration.ofSeconds(2));
+
+      // WHEN
+      fixture.accept(job("a", 2, 1000, SHORT, false));
+      pass(10_000);
+
+      // THEN
+      assertThat(fixture.state("a")).isEqualTo(JobState.SUCCEEDED);
+    }
+
+    @Test
+    void should_wait_for_the_lease_of_a_worker_that_is_cut_off() {
+      // GIVEN
+      fixture.accept(job("a", 3, 4000, LONG, false));
+      pass(500);
+      fixture.workers.state("w1").silent = true;
+
+      // WHEN
+      pass(20_000);
+
+      // THEN
+      assertThat(fixture.state("a")).isEqualTo(JobState.SUCCEEDED);
+      assertThat(fixture.workers.starts()).hasSize(4);
+    }
+
+    @Test
+    void should_start_anew_at_once_when_a_worker_restarted() {
+      // GIVEN
+      fixture.accept(job("a", 3, 4000, LONG, false));
+      pass(500);
+
+      // WHEN
+      fixture.workers.restart("w1");
+      pass(1500);
+
+      // THEN
+      assertThat(fixture.workers.starts()).hasSize(4);
+    }
+  }
+
+  @Nested
+  class Gang {
+    @Test
+    void should_start_all_members_at_once_or_none() {
+      // GIVEN
+      fixture.accept(job("other", 1, 4000, SHORT, false));
+
+      // WHEN
+      fixture.accept(job("a", 3, 4000, SHORT, true));
+
+      // THEN
+      assertThat(fixture.startsOf("a.0.0.0")).isZero();
+      pass(2000);
+      assertThat(fixture.state("a")).isEqualTo(JobState.SUCCEEDED);
+    }
+
+    @Test
+    void should_stop_the_members_when_one_does_not_start() {
+      // GIVEN
+      fixture.workers.state("w2").losesNextStart = true;
+
+      // WHEN
+      fixture.accept(job("a", 3, 4000, LONG, true));
+      pass(20_000);
+
+      // THEN
+      assertThat(fixture.state("a")).isEqualTo(JobState.SUCCEEDED);
+    }
+  }
+
+  @Nested
+  class Advice {
+    @Test
+    void should_start_with_a_ticket_that_still_holds() {
+      // WHEN
+      JobOrder order =
+          Jobs.job("a", "layouts", Jobs.step(3, 1000, SHORT, false));
+      fixture.workers.describe("a", new ResourceVector(1000, 1024, 0), SHORT);
+      fixture.accept(order);
+      pass(3000);
+
+      // THEN
+      assertThat(fixture.state("a")).isEqualTo(JobState.SUCCEEDED);
+    }
+  }
+
+  @Nested
+  class Takeover {
+    @Test
+    void should_go_on_with_what_runs() {
+      // GIVEN
+      fixture.accept(job("a", 3, 2000, Duration.ofSeconds(2), false));
+      pass(500);
+      fixture.cell.close();
+
+      // WHEN
+      fixture.lead();
+      pass(5000);
+
+      // THEN
+      assertThat(fixture.state("a")).isEqualTo(JobState.SUCCEEDED);
+      assertThat(fixture.workers.starts()).hasSize(3);
+    }
+
+    @Test
+    void should_fence_the_former_leader() {
+      // GIVEN
+      fixture.accept(job("a", 3, 2000, Duration.ofSeconds(2), false));
+      pass(500);
+
+      // WHEN the former leader does not notice
+      fixture.lead();
+      pass(10_000);
+
+      // THEN
+      assertThat(fixture.fenced).isTrue();
+      assertThat(fixture.state("a")).isEqualTo(JobState.SUCCEEDED);
+    }
+
+    @Test
+    void should_not_start_what_may_run_on_a_worker_that_is_silent() {
+      // GIVEN
+      fixture.accept(job("a", 3, 4000, Duration.ofSeconds(10), false));
+      pass(500);
+      fixture.workers.state("w1").silent = true;
+      fixture.cell.close();
+
+      // WHEN
+      fixture.lead();
+      pass(40_000);
+
+      // THEN
+      assertThat(fixture.state("a")).isEqualTo(JobState.SUCCEEDED);
+      assertThat(fixture.workers.starts()).hasSize(4);
+    }
+
+    @Test
+    void should_start_anew_a_gang_of_which_only_some_members_run() {
+      // GIVEN
+      fixture.accept(job("a", 3, 4000, LONG, true));
+      pass(100);
+      fixture.cell.close();
+      fixture.workers.restart("w1");
+
+      // WHEN
+      fixture.lead();
+      pass(20_000);
+
+      // THEN
+      assertThat(fixture.state("a")).isEqualTo(JobState.SUCCEEDED);
+    }
+  }
+
+  @Nested
+  class Steps {
+    @Test
+    void should_start_a_step_after_the_steps_that_it_names() {
+      // GIVEN
+      fixture.workers.describe("a", new ResourceVector(1000, 1024, 0), SHORT);
+      JobOrder order =
+          Jobs.job(
+              "a",
+              Jobs.step(2, 1000, SHORT, false),
+              Jobs.step(1, 1000, SHORT, false, List.of(0)));
+
+      // WHEN
+      fixture.accept(order);
+      pass(200);
+
+      // THEN
+      assertThat(fixture.startsOf("a.0.1.0")).isZero();
+      pass(1500);
+      assertThat(fixture.state("a")).isEqualTo(JobState.SUCCEEDED);
+    }
+  }
+
+  @Nested
+  class Count {
+    @Test
+    void should_count_the_jobs_of_which_no_task_has_started() {
+      // GIVEN
+      fixture.accept(job("full", 3, 4000, LONG, false));
+      pass(100);
+      fixture.accept(job("next", 1, 4000, Duration.ofSeconds(3), false));
+      pass(100);
+
+      // WHEN
+      List<CellReply> replies = fixture.call(Action.COUNT, "", null);
+
+      // THEN
+      assertThat(replies).extracting(CellReply::waiting).containsExactly(1);
+    }
+  }
+}
--- /dev/null
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/journal/JournalTest.java
@@ -0,0 +1,222 @@
+package org.masticspread.cell.journal;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.masticspread.cell.log.EventLog;
+import org.masticspread.cell.port.TableCommit;
+import org.masticspread.cell.port.TableCommit.Expected;
+import org.masticspread.cell.port.TableCommit.Put;
+import org.masticspread.cell.port.TableCommit.RowName;
+import org.masticspread.cell.testing.FakeTable;
+import org.masticspread.cell.testing.FakeTable.Fate;
+import org.masticspread.cell.testing.VirtualTime;
+
+/** Commits that are lost, late, refused or fenced. */
+class JournalTest {
+  private static final RowName ROW = new RowName("jobs", "a");
+
+  private final VirtualTime time = new VirtualTime();
+  private final FakeTable table = new FakeTable(time);
+  private final List<String> told = new ArrayList<>();
+  private Journal journal;
+
+  @BeforeEach
+  void lead() {
+    journal = journal(claim("life-1", 1, 0));
+  }
+
+  private Term claim(String life, long epoch, long leaderVersion) {
+    long version =
+        table
+            .apply(
+                new TableCommit(
+                    Rows.PART,
+                    List.of(new Expected(Rows.LEADER, leaderVersion)),
+                    List.of(
+                        new Put(Rows.LEADER, Rows.encode(new LeaderRecord("vm", life, epoch))),
+                        new Put(Rows.HEAD, Rows.encode(new HeadRecord(epoch, 0)))),
+                    List.of()))
+            .version();
+    return new Term(epoch, version);
+  }
+
+  private Journal journal(Term term) {
+    return new Journal(
+        table,
+        time,
+        time,
+        EventLog.NONE,
+        term,
+        new Journal.Listener() {
+          @Override
+          public void deposed() {
+            told.add("deposed");
+          }
+
+          @Override
+          public void storeReached(boolean reached) {
+            told.add("reached " + reached);
+          }
+        });
+  }
+
+  private void put(String value) {
+    journal.put(ROW, () -> value.getBytes(UTF_8));
+  }
+
+  private String stored() {
+    return table.row(ROW).map(row -> new String(row.value(), UTF_8)).orElse("");
+  }
+
+  @Nested
+  class PutRow {
+    @Test
+    void should_write_a_row_that_is_put_twice_once() {
+      // WHEN
+      put("first");
+      put("second");
+      time.pass(Duration.ofMillis(50));
+
+      // THEN
+      assertThat(stored()).isEqualTo("second");
+      assertThat(table.writesOf(ROW)).isEqualTo(1);
+    }
+
+    @Test
+    void should_write_again_what_is_put_while_a_commit_is_on_its_way() {
+      // GIVEN
+      put("first");
+      time.pass(Duration.ofMillis(8));
+
+      // WHEN
+      put("second");
+      time.pass(Duration.ofMillis(50));
+
+      // THEN
+      assertThat(stored()).isEqualTo("second");
+      assertThat(table.writesOf(ROW)).isEqualTo(2);
+    }
+  }
+
+  @Nested
+  class WhenDurable {
+    @Test
+    void should_run_only_after_the_commit() {
+      // GIVEN
+      put("first");
+      journal.whenDurable(() -> told.add("durable"));
+      time.pass(Duration.ofMillis(8));
+      assertThat(told).doesNotContain("durable");
+
+      // WHEN
+      time.pass(Duration.ofMillis(20));
+
+      // THEN
+      assertThat(told).contains("durable");
+    }
+
+    @Test
+    void should_run_once_when_the_answer_is_lost() {
+      // GIVEN
+      table.next(Fate.ANSWER_LOST);
+      put("first");
+      journal.whenDurable(() -> told.add("durable"));
+
+      // WHEN
+      time.pass(Duration.ofSeconds(3));
+
+      // THEN
+      assertThat(told).containsOnlyOnce("durable");
+      assertThat(stored()).isEqualTo("first");
+    }
+
+    @Test
+    void should_never_run_when_another_vm_leads() {
+      // GIVEN
+      put("first");
+      journal.whenDurable(() -> told.add("durable"));
+      claim("life-2", 2, table.row(Rows.LEADER).orElseThrow().version());
+
+      // WHEN
+      time.pass(Duration.ofSeconds(3));
+
+      // THEN
+      assertThat(told).contains("deposed").doesNotContain("durable");
+      assertThat(stored()).isEmpty();
+    }
+  }
+
+  @Nested
+  class Late {
+    @Test
+    void should_not_let_a_late_commit_undo_a_newer_one() {
+      // GIVEN
+      table.next(Fate.LATE);
+      put("first");
+      time.pass(Duration.ofMillis(1100));
+
+      // WHEN
+      put("second");
+      time.pass(Duration.ofSeconds(5));
+
+      // THEN
+      assertThat(stored()).isEqualTo("second");
+    }
+
+    @Test
+    void should_not_let_a_late_commit_take_effect_after_a_change_of_the_leader() {
+      // GIVEN
+      table.next(Fate.LATE, Fate.SILENT, Fate.SILENT, Fate.SILENT);
+      put("first");
+      time.pass(Duration.ofMillis(1100));
+      claim("life-2", 2, table.row(Rows.LEADER).orElseThrow().version());
+
+      // WHEN
+      time.pass(Duration.ofSeconds(5));
+
+      // THEN
+      assertThat(stored()).isEmpty();
+    }
+  }
+
+  @Nested
+  class StoreAway {
+    @Test
+    void should_go_on_once_the_store_is_back() {
+      // GIVEN
+      table.always(Fate.REFUSED);
+      put("first");
+      time.pass(Duration.ofSeconds(2));
+      assertThat(journal.failingFor()).isGreaterThan(Duration.ofSeconds(1));
+      assertThat(told).contains("reached false");
+
+      // WHEN
+      table.always(Fate.DONE);
+      time.pass(Duration.ofMillis(200));
+
+      // THEN
+      assertThat(stored()).isEqualTo("first");
+      assertThat(journal.failingFor()).isZero();
+    }
+
+    @Test
+    void should_tell_for_how_long_a_commit_has_no_answer() {
+      // GIVEN
+      table.always(Fate.SILENT);
+      put("first");
+
+      // WHEN
+      time.pass(Duration.ofMillis(700));
+
+      // THEN
+      assertThat(journal.stalledFor()).isGreaterThan(Duration.ofMillis(600));
+    }
+  }
+}
--- /dev/null
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/testing/CellFixture.java
@@ -0,0 +1,165 @@
+package org.masticspread.cell.testing;
+
+import com.codahale.metrics.MetricRegistry;
+import io.reactivex.rxjava3.core.Single;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.masticspread.cell.engine.AdviceDesk;
+import org.masticspread.cell.engine.Cell;
+import org.masticspread.cell.engine.CellLimits;
+import org.masticspread.cell.engine.CellPorts;
+import org.masticspread.cell.journal.HeadRecord;
+import org.masticspread.cell.journal.JobRecord;
+import org.masticspread.cell.journal.Journal;
+import org.masticspread.cell.journal.LeaderRecord;
+import org.masticspread.cell.journal.ProgressRecord;
+import org.masticspread.cell.journal.Rows;
+import org.masticspread.cell.journal.Term;
+import org.masticspread.cell.log.EventLog;
+import org.masticspread.cell.port.TableCommit;
+import org.masticspread.cell.port.TableCommit.Put;
+import org.masticspread.cell.port.TableCommit.RowName;
+import org.masticspread.cell.port.TableRow;
+import org.masticspread.model.cell.CellConfig;
+import org.masticspread.model.cell.JobOrder;
+import org.masticspread.model.cell.JobState;
+import org.masticspread.model.peer.AdviceReply;
+import org.masticspread.model.peer.CellCall;
+import org.masticspread.model.peer.CellCall.Action;
+import org.masticspread.model.peer.CellReply;
+import org.masticspread.model.result.InvalidFieldException;
+
+/** A cell on a store and workers in memory. */
+public final class CellFixture {
+  public static final CellLimits LIMITS =
+      new CellLimits(
+          Duration.ofSeconds(6),
+          Duration.ofMillis(900),
+          Duration.ofSeconds(3),
+          Duration.ofSeconds(120),
+          1.5,
+          Duration.ofMillis(4500));
+
+  public final VirtualTime time = new VirtualTime();
+  public final FakeTable table = new FakeTable(time);
+  public final FakeWorkers workers = new FakeWorkers(time);
+  public final List<String> events = new ArrayList<>();
+  public final MetricRegistry metrics = new MetricRegistry();
+  private final CellConfig config;
+  public Cell cell;
+  public Journal journal;
+  public boolean fenced;
+  private long epoch;
+
+  public CellFixture(CellConfig config) {
+    this.config = config;
+  }
+
+  /** Makes a new leader; the former cell goes on, as after a change that it has not noticed. */
+  public CellFixture lead() {
+    epoch++;
+    Optional<TableRow> former = table.row(Rows.LEADER);
+    TableCommit claim =
+        new TableCommit(
+            Rows.PART,
+            List.of(
+                new TableCommit.Expected(
+                    Rows.LEADER, former.map(TableRow::version).orElse(0L))),
+            List.of(
+                new Put(Rows.LEADER, Rows.encode(new LeaderRecord("vm", "life" + epoch, epoch))),
+                new Put(Rows.HEAD, Rows.encode(new HeadRecord(epoch, 0)))),
+            List.of());
+    long version = table.apply(claim).version();
+    Term term = new Term(epoch, version);
+    EventLog log = (event, id, facts) -> events.add(event + " " + id + " " + List.of(facts));
+    journal =
+        new Journal(
+            table,
+            time,
+            time,
+            log,
+            term,
+            new Journal.Listener() {
+              @Override
+              public void deposed() {
+                fenced = true;
+              }
+
+              @Override
+              public void storeReached(boolean reached) {
+                // Looked at through the journal.
+              }
+            });
+    AdviceDesk desk =
+        new AdviceDesk(
+            (vm, step, ids, timeout) ->
+                Single.create(
+                    emitter ->
+                        time.after(
+                            Duration.ofMillis(10), () -> emitter.onSuccess(approveAll(ids)))),
+            () -> List.of("vm"),
+            time);
+    cell =
+        new Cell(
+            new CellPorts(
+                term, journal, workers, desk, time, time, time, log, metrics, LIMITS),
+            config,
+            () -> fenced = true);
+    restore();
+    workers.entries().forEach(cell::register);
+    cell.begin();
+    return this;
+  }
+
+  private static AdviceReply approveAll(List<String> ids) {
+    return new AdviceReply(
+        true, ids.stream().map(id -> new AdviceReply.Ticket(id, "t-" + id)).toList(), 2000);
+  }
+
+  private void restore() {
+    for (TableRow row : table.read(Rows.JOB_TABLE)) {
+      try {
+        JobRecord record = Rows.decode(JobRecord.class, row.value());
+        Optional<TableRow> progress = table.row(new RowName(Rows.PROGRESS_TABLE, row.key()));
+        cell.restore(
+            record,
+            progress.isEmpty()
+                ? Optional.empty()
+                : Optional.of(Rows.decode(ProgressRecord.class, progress.get().value())));
+      } catch (InvalidFieldException e) {
+        throw new AssertionError(e);
+      }
+    }
+  }
+
+  /** Sends a call; the list gets the reply when it comes. */
+  public List<CellReply> call(Action action, String job, JobOrder order) {
+    List<CellReply> replies = new ArrayList<>();
+    String queue = order == null ? "checks" : order.queue();
+    cell.answer(new CellCall(action, queue, 1, job, order), replies::add);
+    return replies;
+  }
+
+  public List<CellReply> submit(JobOrder order) {
+    return call(Action.SUBMIT, order.id(), order);
+  }
+
+  /** Submits a job and lets it become durable. */
+  public CellReply accept(JobOrder order) {
+    List<CellReply> replies = submit(order);
+    time.pass(Duration.ofMillis(30));
+    return replies.get(0);
+  }
+
+  public JobState state(String job) {
+    List<CellReply> replies = call(Action.SHOW, job, null);
+    time.pass(Duration.ofMillis(1));
+    return replies.get(0).state();
+  }
+
+  public long startsOf(String task) {
+    return workers.starts().stream().filter(start -> start.contains(" " + task + " ")).count();
+  }
+}
--- /dev/null
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/testing/FakeTable.java
@@ -0,0 +1,173 @@
+package org.masticspread.cell.testing;
+
+import io.reactivex.rxjava3.core.Single;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.function.Predicate;
+import org.masticspread.cell.port.CommitResult;
+import org.masticspread.cell.port.CommitResult.Kind;
+import org.masticspread.cell.port.RowPage;
+import org.masticspread.cell.port.StoreReadException;
+import org.masticspread.cell.port.TableCommit;
+import org.masticspread.cell.port.TableCommit.Expected;
+import org.masticspread.cell.port.TableCommit.Put;
+import org.masticspread.cell.port.TableCommit.RowName;
+import org.masticspread.cell.port.TablePort;
+import org.masticspread.cell.port.TableRow;
+
+/** The store in memory, with transactions that take time and can be lost, late or refused. */
+public final class FakeTable implements TablePort {
+  private static final Duration COMMIT_TIME = Duration.ofMillis(5);
+  private static final Duration COMMIT_TIMEOUT = Duration.ofMillis(1000);
+
+  /** What becomes of a transaction. */
+  public enum Fate {
+    /** Carried out and answered. */
+    DONE,
+    /** Carried out; the answer is lost. */
+    ANSWER_LOST,
+    /** Carried out 3 s later, if it still may be; no answer. */
+    LATE,
+    /** Refused. */
+    REFUSED,
+    /** Neither carried out nor answered. */
+    SILENT
+  }
+
+  private final VirtualTime time;
+  private final Map<String, TableRow> rows = new TreeMap<>();
+  private final List<Fate> fates = new ArrayList<>();
+  private final List<TableCommit> commits = new ArrayList<>();
+  private Fate fate = Fate.DONE;
+  private long version;
+
+  public FakeTable(VirtualTime time) {
+    this.time = time;
+  }
+
+  /** Sets what becomes of the next transactions, one each; then all are done. */
+  public FakeTable next(Fate... next) {
+    fates.addAll(List.of(next));
+    return this;
+  }
+
+  /** Sets what becomes of all transactions from now on. */
+  public void always(Fate all) {
+    fate = all;
+  }
+
+  public List<TableCommit> commits() {
+    return commits;
+  }
+
+  public Optional<TableRow> row(RowName name) {
+    return Optional.ofNullable(rows.get(key(name)));
+  }
+
+  /** Returns the rows of a table. */
+  public List<TableRow> read(String tableName) {
+    return rows.values().stream().filter(row -> row.table().equals(tableName)).toList();
+  }
+
+  /** Counts the transactions that wrote a row. */
+  public long writesOf(RowName name) {
+    Predicate<TableCommit> writes =
+        commit -> commit.puts().stream().anyMatch(put -> put.row().equals(name));
+    return commits.stream().filter(writes).count();
+  }
+
+  @Override
+  public Single<CommitResult> commit(TableCommit commit) {
+    commits.add(commit);
+    Fate now = fates.isEmpty() ? fate : fates.remove(0);
+    return Single.create(
+        emitter -> {
+          switch (now) {
+            case DONE ->
+                time.after(COMMIT_TIME, () -> emitter.onSuccess(apply(commit)));
+            case ANSWER_LOST -> {
+              time.after(COMMIT_TIME, () -> apply(commit));
+              time.after(
+                  COMMIT_TIMEOUT, () -> emitter.onSuccess(CommitResult.of(Kind.UNKNOWN)));
+            }
+            case LATE -> {
+              time.after(Duration.ofSeconds(3), () -> apply(commit));
+              time.after(
+                  COMMIT_TIMEOUT, () -> emitter.onSuccess(CommitResult.of(Kind.UNKNOWN)));
+            }
+            case REFUSED ->
+                time.after(
+                    COMMIT_TIME, () -> emitter.onSuccess(CommitResult.of(Kind.REFUSED)));
+            case SILENT ->
+                time.after(
+                    COMMIT_TIMEOUT, () -> emitter.onSuccess(CommitResult.of(Kind.UNKNOWN)));
+            default -> throw new IllegalStateException("fate: " + now);
+          }
+        });
+  }
+
+  /** Applies a transaction at once. */
+  public CommitResult apply(TableCommit commit) {
+    List<TableRow> current = new ArrayList<>();
+    boolean holds = true;
+    for (Expected expected : commit.expected()) {
+      TableRow row = rows.get(key(expected.row()));
+      holds &= (row == null ? 0 : row.version()) == expected.version();
+      if (row != null) {
+        current.add(row);
+      }
+    }
+    if (!holds) {
+      return new CommitResult(Kind.CONFLICT, 0, current);
+    }
+    version++;
+    for (Put put : commit.puts()) {
+      RowName name = put.row();
+      rows.put(
+          key(name),
+          new TableRow(name.table(), commit.part(), name.key(), put.value(), version, false));
+    }
+    commit.removals().forEach(name -> rows.remove(key(name)));
+    return new CommitResult(Kind.DONE, version, List.of());
+  }
+
+  @Override
+  public Single<RowPage> read(String table, String part, String from) {
+    List<TableRow> found =
+        rows.values().stream()
+            .filter(row -> row.table().equals(table) && row.part().equals(part))
+            .filter(row -> row.key().compareTo(from) >= 0)
+            .toList();
+    return Single.create(
+        emitter ->
+            time.after(
+                COMMIT_TIME, () -> emitter.onSuccess(new RowPage(found, false, version))));
+  }
+
+  @Override
+  public Single<RowPage> follow(String table, long after, Duration wait) {
+    return Single.create(
+        emitter ->
+            time.after(
+                Duration.ofMillis(20),
+                () -> {
+                  List<TableRow> changes =
+                      rows.values().stream()
+                          .filter(row -> row.table().equals(table) && row.version() > after)
+                          .toList();
+                  if (fate == Fate.SILENT) {
+                    emitter.onError(new StoreReadException(false, "silent", null));
+                  } else {
+                    emitter.onSuccess(new RowPage(changes, false, version));
+                  }
+                }));
+  }
+
+  private static String key(RowName name) {
+    return name.table() + "/" + name.key();
+  }
+}
--- /dev/null
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/testing/Jobs.java
@@ -0,0 +1,74 @@
+package org.masticspread.cell.testing;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import org.masticspread.model.cell.AdviceRule;
+import org.masticspread.model.cell.CellConfig;
+import org.masticspread.model.cell.EndpointRule;
+import org.masticspread.model.cell.JobOrder;
+import org.masticspread.model.cell.QueueRule;
+import org.masticspread.model.cell.Recurrence;
+import org.masticspread.model.cell.StepSpec;
+import org.masticspread.model.resource.ResourceVector;
+
+/** Jobs and configurations for tests. */
+public final class Jobs {
+  private Jobs() {}
+
+  public static StepSpec step(int tasks, long millicores, Duration estimate, boolean gang) {
+    return step(tasks, millicores, estimate, gang, List.of());
+  }
+
+  public static StepSpec step(
+      int tasks, long millicores, Duration estimate, boolean gang, List<Integer> after) {
+    return new StepSpec(
+        tasks,
+        new ResourceVector(millicores, 1024, 0),
+        estimate,
+        after,
+        false,
+        gang,
+        false,
+        "",
+        "",
+        0,
+        false,
+        false,
+        "",
+        Duration.ZERO,
+        false,
+        0);
+  }
+
+  public static JobOrder job(String id, StepSpec... steps) {
+    return job(id, "checks", steps);
+  }
+
+  public static JobOrder job(String id, String queue, StepSpec... steps) {
+    return new JobOrder(id, queue, "payload", List.of(steps), Recurrence.ONCE);
+  }
+
+  public static QueueRule queue(String name, int priority, Optional<AdviceRule> advice) {
+    return new QueueRule(
+        name,
+        "desk.example",
+        "/" + name + "/",
+        "desk",
+        Duration.ofSeconds(3),
+        Duration.ofSeconds(2),
+        priority,
+        3,
+        4.0,
+        advice);
+  }
+
+  public static CellConfig config(QueueRule... queues) {
+    return new CellConfig(
+        1,
+        List.of(queues),
+        List.of(new EndpointRule("desk", "/health", 64, false, false)),
+        262_144,
+        Duration.ofSeconds(15));
+  }
+}
