--- a/masticspread-wire/src/test/java/org/masticspread/wire/Samples.java
+++ b/masticspread-wire/src/test/java/org/masticspread/wire/Samples.java
@@ -27,6 +27,8 @@
             "s" + number,
             int.class,
             number,
+            Integer.class,
+            number,
             long.class,
             (long) number << 33,
             double.class,
