Jobs that certainly are not stored are given back while the store refuses; calls that may have been taken are held

A commit that was only ever refused holds nothing, so its jobs are taken back and refused with a time to return; one that may be stored is held to the end of the caller's patience. Rows of VMs are in a part of their own, apart from the leader's commits.

--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Cell.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Cell.java
@@ -72,8 +72,16 @@
   /** A commit without an answer for so long: a job handed in now could not be stored in time. */
   private static final Duration STORE_AWAY = Duration.ofMillis(700);
 
-  /** When a caller may come back that was refused since the store is away. */
-  private static final Duration STORE_RETRY = Duration.ofMillis(1500);
+  /** Commits that fail for a moment only are not worth a refusal. */
+  private static final Duration WITHDRAW_AFTER = Duration.ofMillis(200);
+
+  /** When a caller may come back that was refused since the store is away: its outages take 5 s. */
+  private static final Duration SHORTEST_STORE_RETRY = Duration.ofSeconds(1);
+
+  private static final Duration LONGEST_STORE_RETRY = Duration.ofSeconds(3);
+
+  /** A job comes back after this part of the time within which it is wanted. */
+  private static final int STORE_RETRY_PARTS = 4;
 
   /** How long a call waits for a configuration that its sender has already seen. */
   private static final Duration CONFIG_WAIT = Duration.ofMillis(40);
@@ -281,9 +289,9 @@
         refuse(order, reply, Duration.ofSeconds(1), "no such queue");
         return;
       }
-      if (ports.journal().stalledFor().compareTo(STORE_AWAY) >= 0) {
+      if (storeAway()) {
         ports.metrics().counter("refused.store").inc();
-        refuse(order, reply, STORE_RETRY, "the store does not answer");
+        refuse(order, reply, storeRetry(order, queue.get()), "the store does not answer");
         return;
       }
       if (!admit(order, queue.get(), reply)) {
@@ -298,10 +306,50 @@
                 requestPass();
               });
     }
+    Job job = jobs.find(order.id()).orElseThrow();
+    job.callers.add(reply);
     ports
         .journal()
         .whenDurable(
-            () -> reply.accept(CellReply.of(CellReply.Outcome.ACCEPTED, "")));
+            () -> {
+              if (job.durable) {
+                reply.accept(CellReply.of(CellReply.Outcome.ACCEPTED, ""));
+              }
+            });
+  }
+
+  /** Commits fail or have no answer for longer than on a slow store. */
+  private boolean storeAway() {
+    return !ports.journal().failingFor().isZero()
+        || ports.journal().stalledFor().compareTo(STORE_AWAY) >= 0;
+  }
+
+  /** A job that has more time may come back later, so that its few retries outlast the outage. */
+  private Duration storeRetry(JobOrder order, QueueRule queue) {
+    Duration part = scheduler.facts(order, queue).objective().dividedBy(STORE_RETRY_PARTS);
+    if (part.compareTo(SHORTEST_STORE_RETRY) < 0) {
+      return SHORTEST_STORE_RETRY;
+    }
+    return part.compareTo(LONGEST_STORE_RETRY) > 0 ? LONGEST_STORE_RETRY : part;
+  }
+
+  /** Gives back jobs that cannot be stored now and certainly are not. */
+  private void withdrawUnstored() {
+    if (ports.journal().failingFor().compareTo(WITHDRAW_AFTER) < 0
+        && ports.journal().stalledFor().compareTo(STORE_AWAY) < 0) {
+      return;
+    }
+    for (Job job : jobs.accepting()) {
+      Optional<QueueRule> queue = queue(job);
+      if (queue.isEmpty() || !jobs.withdraw(job)) {
+        continue;
+      }
+      ports.metrics().counter("refused.store").inc();
+      for (Consumer<CellReply> caller : job.callers) {
+        refuse(
+            job.order, caller, storeRetry(job.order, queue.get()), "it could not be stored");
+      }
+    }
   }
 
   private boolean admit(JobOrder order, QueueRule queue, Consumer<CellReply> reply) {
@@ -514,6 +562,7 @@
       lapse(worker);
       findStanding(worker);
     }
+    withdrawUnstored();
     jobs.openOccurrences();
     if (ticks % 50 == 0) {
       jobs.dropOld();
--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Job.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Job.java
@@ -5,11 +5,13 @@
 import java.util.BitSet;
 import java.util.List;
 import java.util.TreeMap;
+import java.util.function.Consumer;
 import org.masticspread.cell.journal.ProgressRecord;
 import org.masticspread.cell.journal.ProgressRecord.StepRecord;
 import org.masticspread.model.cell.JobOrder;
 import org.masticspread.model.cell.JobState;
 import org.masticspread.model.cell.StepSpec;
+import org.masticspread.model.peer.CellReply;
 
 /** An accepted job, or one that is being accepted. Confined to the cell. */
 final class Job {
@@ -32,6 +34,10 @@
   JobState shown = JobState.QUEUED;
 
   boolean durable;
+
+  /** Who waits to hear that the job is stored. */
+  final List<Consumer<CellReply>> callers = new ArrayList<>();
+
   long endedMillis = -1;
   private final BitSet closed = new BitSet();
   private int opened;
--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/JobBook.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/JobBook.java
@@ -73,6 +73,21 @@
     return job;
   }
 
+  /** Gives up a job that is certainly not stored; returns whether it is given up. */
+  boolean withdraw(Job job) {
+    if (job.durable || !ports.journal().retract(new RowName(Rows.JOB_TABLE, job.id()))) {
+      return false;
+    }
+    jobs.remove(job.id());
+    open.remove(job.id());
+    return true;
+  }
+
+  /** Returns the jobs that are not stored yet. */
+  List<Job> accepting() {
+    return open.values().stream().filter(job -> !job.durable).toList();
+  }
+
   /** Adds a job that an earlier leader accepted. */
   void restore(JobRecord record, Optional<ProgressRecord> progress) {
     Instant accepted = Instant.ofEpochMilli(record.acceptedAtMillis());
--- a/masticspread-cell/src/main/java/org/masticspread/cell/gateway/Gateway.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/gateway/Gateway.java
@@ -23,10 +23,11 @@
   private static final Duration ATTEMPT = Duration.ofMillis(1200);
 
   /**
-   * A call that is not answered after this is given back, so that its caller can try another VM: a
-   * change of the leader takes about a second.
+   * A call that reached no leader after this is given back, so that its caller can try another VM:
+   * a change of the leader takes about a second. One that may have been taken goes on, since its
+   * caller could not be told that it was not.
    */
-  private static final Duration LONGEST_TRIP = Duration.ofMillis(1400);
+  private static final Duration LONGEST_SEARCH = Duration.ofMillis(1400);
 
   /** Between two attempts while no VM leads. */
   private static final Duration PAUSE = Duration.ofMillis(40);
@@ -57,17 +58,19 @@
    *     none came in time
    */
   public void carry(CellCall call, Duration patience, Consumer<CellReply> reply) {
-    long most = Math.min(patience.toMillis(), LONGEST_TRIP.toMillis());
-    attempt(new Trip(call, ports.clock().millis() + most, reply));
+    long now = ports.clock().millis();
+    long search = Math.min(patience.toMillis(), LONGEST_SEARCH.toMillis());
+    attempt(new Trip(call, now + search, now + patience.toMillis(), reply));
   }
 
   private void attempt(Trip trip) {
-    long left = trip.untilMillis - ports.clock().millis();
+    long left = trip.left(ports.clock().millis());
     if (left <= 0) {
       giveUp(trip);
       return;
     }
     if (vm.cell().isPresent()) {
+      left = trip.untilMillis - ports.clock().millis();
       vm.answer(trip.call, answer -> answered(trip, answer));
       ports.timers().after(Duration.ofMillis(left), () -> giveUp(trip));
       return;
@@ -123,7 +126,9 @@
     if (trip.ended) {
       return;
     }
-    boolean sent = trip.maybeTaken || vm.cell().isPresent();
+    // A call that only reads takes no effect, so it was certainly not carried out.
+    boolean reads = trip.call.action() == CellCall.Action.SHOW;
+    boolean sent = !reads && (trip.maybeTaken || vm.cell().isPresent());
     CellReply reply =
         sent
             ? CellReply.of(Outcome.UNCERTAIN, "no answer in time")
@@ -144,15 +149,24 @@
   /** One call on its way. */
   private static final class Trip {
     private final CellCall call;
+    private final long searchUntilMillis;
     private final long untilMillis;
     private final Consumer<CellReply> reply;
     private boolean maybeTaken;
     private boolean ended;
 
-    Trip(CellCall call, long untilMillis, Consumer<CellReply> reply) {
+    Trip(
+        CellCall call, long searchUntilMillis, long untilMillis, Consumer<CellReply> reply) {
       this.call = call;
+      this.searchUntilMillis = searchUntilMillis;
       this.untilMillis = untilMillis;
       this.reply = reply;
     }
+
+    /** Returns how long to go on; only one that may have been taken goes on to the end. */
+    long left(long nowMillis) {
+      boolean keep = maybeTaken && call.action() != CellCall.Action.SHOW;
+      return (keep ? untilMillis : searchUntilMillis) - nowMillis;
+    }
   }
 }
--- a/masticspread-cell/src/main/java/org/masticspread/cell/journal/Journal.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/journal/Journal.java
@@ -73,7 +73,9 @@
   private long commits;
   private long lastSequence;
   private long durableSequence;
+  private Batch batch;
   private boolean inFlight;
+  private boolean sending;
   private long sentMillis;
   private boolean scheduled;
   private boolean closed;
@@ -131,6 +133,24 @@
     schedule(LINGER);
   }
 
+  /**
+   * Takes back a row that is certainly not written yet.
+   *
+   * @param row the row
+   * @return whether it is taken back; else it is written, or may be
+   */
+  public boolean retract(RowName row) {
+    boolean retracted = false;
+    if (batch != null && batch.has(row)) {
+      if (!batch.refusedOnly || sending) {
+        return false;
+      }
+      retracted = batch.puts.removeIf(put -> put.row().equals(row));
+    }
+    boolean waited = dirty.remove(row) != null;
+    return waited || retracted;
+  }
+
   /**
    * Runs an action once all rows put so far are written. It never runs if they are not.
    *
@@ -202,7 +222,8 @@
     puts.add(new Put(Rows.HEAD, Rows.encode(new HeadRecord(term.epoch(), commits))));
     inFlight = true;
     sentMillis = clock.millis();
-    send(new Batch(sequence, puts, removals));
+    batch = new Batch(sequence, puts, removals);
+    send();
   }
 
   private long take(List<Put> puts, List<RowName> removals) {
@@ -223,32 +244,35 @@
     return sequence;
   }
 
-  private void send(Batch batch) {
+  private void send() {
     if (closed) {
       return;
     }
+    sending = true;
     List<Expected> expected =
         List.of(new Expected(Rows.LEADER, term.version()), new Expected(Rows.HEAD, headVersion));
     TableCommit commit = new TableCommit(Rows.PART, expected, batch.puts, batch.removals);
-    var unused = table.commit(commit).subscribe(result -> settle(batch, result));
+    var unused = table.commit(commit).subscribe(this::settle);
   }
 
-  private void settle(Batch batch, CommitResult result) {
+  private void settle(CommitResult result) {
     if (closed) {
       return;
     }
+    sending = false;
     switch (result.kind()) {
-      case DONE -> done(batch, result.version());
-      case CONFLICT -> conflict(batch, result.current());
-      case REFUSED, UNKNOWN -> again(batch, result.kind());
+      case DONE -> done(result.version());
+      case CONFLICT -> conflict(result.current());
+      case REFUSED, UNKNOWN -> again(result.kind());
       default -> throw new IllegalStateException("kind: " + result.kind());
     }
   }
 
-  private void done(Batch batch, long version) {
+  private void done(long version) {
     headVersion = version;
     durableSequence = batch.sequence;
     inFlight = false;
+    batch = null;
     if (failingSinceMillis >= 0) {
       log.event("store-regained", "journal", "afterMs", clock.millis() - failingSinceMillis);
       failingSinceMillis = -1;
@@ -261,12 +285,12 @@
   }
 
   /** The rows differ: either an earlier attempt was carried out, or another VM leads. */
-  private void conflict(Batch batch, List<TableRow> current) {
+  private void conflict(List<TableRow> current) {
     Optional<TableRow> leader = find(current, Rows.LEADER);
     Optional<TableRow> head = find(current, Rows.HEAD);
     boolean leads = leader.map(row -> row.version() == term.version()).orElse(false);
     if (leads && head.isPresent() && head.get().version() != headVersion && wrote(head.get())) {
-      done(batch, head.get().version());
+      done(head.get().version());
       return;
     }
     log.event("journal-fenced", "journal", "epoch", term.epoch(), "commit", commits);
@@ -290,19 +314,38 @@
         .findFirst();
   }
 
-  private void again(Batch batch, CommitResult.Kind kind) {
+  private void again(CommitResult.Kind kind) {
+    batch.refusedOnly &= kind == CommitResult.Kind.REFUSED;
     if (failingSinceMillis < 0) {
       failingSinceMillis = clock.millis();
       log.event("store-lost", "journal", "outcome", kind, "commit", commits);
     }
     listener.storeReached(false);
     Duration pause = kind == CommitResult.Kind.REFUSED ? REFUSED_PAUSE : Duration.ZERO;
-    timers.after(pause, () -> send(batch));
+    timers.after(pause, this::send);
   }
 
   private record Entry(long sequence, Optional<Supplier<byte[]>> content) {}
 
   private record Waiter(long sequence, Runnable action) {}
 
-  private record Batch(long sequence, List<Put> puts, List<RowName> removals) {}
+  /** The rows of one commit, until it is done. */
+  private static final class Batch {
+    private final long sequence;
+    private final List<Put> puts;
+    private final List<RowName> removals;
+
+    /** Whether every attempt was refused, so that nothing of it is written or can be. */
+    private boolean refusedOnly = true;
+
+    Batch(long sequence, List<Put> puts, List<RowName> removals) {
+      this.sequence = sequence;
+      this.puts = puts;
+      this.removals = removals;
+    }
+
+    boolean has(RowName row) {
+      return puts.stream().anyMatch(put -> put.row().equals(row));
+    }
+  }
 }
--- a/masticspread-cell/src/main/java/org/masticspread/cell/journal/Rows.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/journal/Rows.java
@@ -16,6 +16,9 @@
   /** The part of all rows of the cell. */
   public static final String PART = "main";
 
+  /** The part of the rows of VMs, apart from the commits of the leader. */
+  public static final String VM_PART = "vms";
+
   /** Holds the one row that names the leader; followed by every VM. */
   public static final String LEADER_TABLE = "leader";
 
--- a/masticspread-cell/src/main/java/org/masticspread/cell/lead/Vm.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/lead/Vm.java
@@ -97,7 +97,7 @@
     this.roster = new Roster(self, ports.clock());
     this.startedMillis = ports.clock().millis();
     this.leadership = new Leadership(ports, roster, new Owner());
-    this.vms = follower(Rows.VM_TABLE, Rows.PART, this::readVms);
+    this.vms = follower(Rows.VM_TABLE, Rows.VM_PART, this::readVms);
     this.leaders = follower(Rows.LEADER_TABLE, Rows.PART, this::readLeader);
     this.operator =
         follower(ports.operator().table(), ports.operator().part(), this::readConfig);
@@ -132,7 +132,7 @@
     VmRecord self = roster.self();
     TableCommit commit =
         new TableCommit(
-            Rows.PART,
+            Rows.VM_PART,
             List.of(),
             List.of(new Put(new RowName(Rows.VM_TABLE, self.vm()), Rows.encode(self))),
             List.of());
@@ -248,7 +248,7 @@
   /** Drops the VM's row, so that no peer looks for it any more. */
   public void unregister() {
     RowName row = new RowName(Rows.VM_TABLE, roster.self().vm());
-    TableCommit commit = new TableCommit(Rows.PART, List.of(), List.of(), List.of(row));
+    TableCommit commit = new TableCommit(Rows.VM_PART, List.of(), List.of(), List.of(row));
     var unused =
         ports
             .store()
--- a/masticspread-cell/src/test/java/org/masticspread/cell/engine/CellTest.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/engine/CellTest.java
@@ -118,6 +118,56 @@
       assertThat(replies.get(0).retryAfterMillis()).isGreaterThanOrEqualTo(1000);
     }
 
+    @Test
+    void should_give_back_what_the_store_refuses_to_hold() {
+      // GIVEN
+      fixture.table.always(Fate.REFUSED);
+
+      // WHEN
+      List<CellReply> replies = fixture.submit(job("a", 1, 1000, SHORT, false));
+      pass(500);
+
+      // THEN
+      assertThat(replies).extracting(CellReply::outcome).containsExactly(Outcome.REFUSED);
+      fixture.table.always(Fate.DONE);
+      pass(5000);
+      assertThat(fixture.workers.starts()).isEmpty();
+      assertThat(fixture.call(Action.SHOW, "a", null).get(0).outcome())
+          .isEqualTo(Outcome.UNKNOWN_JOB);
+    }
+
+    @Test
+    void should_not_refuse_what_the_store_may_hold() {
+      // GIVEN
+      fixture.table.always(Fate.SILENT);
+
+      // WHEN
+      List<CellReply> replies = fixture.submit(job("a", 1, 1000, SHORT, false));
+      pass(2500);
+
+      // THEN
+      assertThat(replies).isEmpty();
+    }
+
+    @Test
+    void should_take_a_job_again_that_was_given_back() {
+      // GIVEN
+      JobOrder order = job("a", 1, 1000, SHORT, false);
+      fixture.table.always(Fate.REFUSED);
+      fixture.submit(order);
+      pass(500);
+      fixture.table.always(Fate.DONE);
+      pass(200);
+
+      // WHEN
+      CellReply reply = fixture.accept(order);
+      pass(1000);
+
+      // THEN
+      assertThat(reply.outcome()).isEqualTo(Outcome.ACCEPTED);
+      assertThat(fixture.state("a")).isEqualTo(JobState.SUCCEEDED);
+    }
+
     @Test
     void should_refuse_what_would_be_done_too_late() {
       // GIVEN
