VMs learn of a new leader from each other; a VM that reaches no other one claims only an idle cell; tests of VMs under faults

Causes, found by VmTest: a leader cut off from the store went on without noticing its successor (StoreCut.should_hand_over_when_only_the_leader_loses_the_store), and a leader cut off from its peers claimed the lead back again and again (PeerCut.should_replace_a_leader_that_no_other_vm_hears).

--- a/masticspread-cell/src/main/java/org/masticspread/cell/lead/Leadership.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/lead/Leadership.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Consumer;
 import org.masticspread.cell.journal.HeadRecord;
 import org.masticspread.cell.journal.LeaderRecord;
 import org.masticspread.cell.journal.Rows;
@@ -83,6 +84,7 @@
   private int misses;
   private long heardMillis = Long.MIN_VALUE / 2;
   private long probedMillis = Long.MIN_VALUE / 2;
+  private long fencedMillis = Long.MIN_VALUE / 2;
   private boolean suspecting;
   private boolean claiming;
   private boolean stopping;
@@ -132,7 +134,7 @@
       return;
     }
     known = true;
-    if (row.get().version() <= leaderVersion) {
+    if (row.get().version() <= leaderVersion && leader.isPresent()) {
       return;
     }
     try {
@@ -144,6 +146,9 @@
 
   private void take(LeaderRecord record, long version) {
     leaderVersion = version;
+    if (record.epoch() < epoch()) {
+      return;
+    }
     boolean changed = !leader.equals(Optional.of(record));
     leader = Optional.of(record);
     if (!changed) {
@@ -206,6 +211,12 @@
     if (!leader.equals(Optional.of(record))) {
       return;
     }
+    if (answer instanceof VmStatus status) {
+      hear(status);
+      if (!leader.equals(Optional.of(record))) {
+        return;
+      }
+    }
     if (answer instanceof VmStatus status && status.life().equals(record.life())) {
       if (status.configVersion() > owner.configVersion()) {
         owner.configBehind();
@@ -269,6 +280,7 @@
                           Duration.ZERO,
                           () -> {
                             if (answer instanceof VmStatus status) {
+                              hear(status);
                               hearing[0] += status.hearsLeader() ? 1 : 0;
                               if (!status.stopping()) {
                                 answered.add(other);
@@ -299,7 +311,8 @@
   private void claimAfter(List<VmRecord> rivals, int asked) {
     Duration delay = RANK_DELAY.multipliedBy(roster.rank(rivals));
     if (rivals.isEmpty() && asked > 0) {
-      delay = ALONE_DELAY;
+      claimAlone();
+      return;
     }
     long epoch = epoch();
     ports
@@ -314,6 +327,46 @@
             });
   }
 
+  /**
+   * Claims only if the leader writes nothing for a while: a VM that reaches no other VM may itself be
+   * the one that is cut off.
+   */
+  private void claimAlone() {
+    long epoch = epoch();
+    readHead(
+        before ->
+            ports
+                .timers()
+                .after(
+                    ALONE_DELAY,
+                    () ->
+                        readHead(
+                            after -> {
+                              boolean idle = before.equals(after);
+                              ports.log().event("leader-watched", roster.self().vm(), "idle", idle);
+                              suspecting = false;
+                              misses = 0;
+                              if (idle && epoch == epoch()) {
+                                claim("no other VM answers and nothing is written");
+                              }
+                            })));
+  }
+
+  private void readHead(Consumer<Long> version) {
+    var unused =
+        ports
+            .store()
+            .read(Rows.HEAD_TABLE, Rows.PART, "")
+            .subscribe(
+                page ->
+                    version.accept(
+                        page.rows().stream().findFirst().map(TableRow::version).orElse(0L)),
+                error -> {
+                  ports.log().event("store-read-failed", "head", "reason", error.getMessage());
+                  suspecting = false;
+                });
+  }
+
   /** Tries to become the leader by a conditional write. */
   void claim(String reason) {
     if (claiming || stopping || leading() || !known) {
@@ -347,6 +400,45 @@
     }
   }
 
+  /** Takes in which leader another VM knows, as when this one does not reach the store. */
+  void hear(VmStatus status) {
+    if (status.epoch() <= epoch() || status.leaderVm().isEmpty()) {
+      return;
+    }
+    LeaderRecord record =
+        new LeaderRecord(status.leaderVm(), status.leaderLife(), status.epoch());
+    ports.log().event("leader-heard", record.vm(), "epoch", record.epoch());
+    take(record, leaderVersion);
+  }
+
+  /** A worker or the store has refused this leader: another one must be known somewhere. */
+  void fenced() {
+    readLeader();
+    if (ports.clock().millis() - fencedMillis < RETRY.toMillis()) {
+      return;
+    }
+    fencedMillis = ports.clock().millis();
+    for (VmRecord other : roster.others()) {
+      ports
+          .peers()
+          .call(
+              VmId.of(other.vm()),
+              new VmProbe(false, epoch(), owner.configVersion()),
+              OPINION_TIMEOUT)
+          .thenAccept(
+              answer ->
+                  ports
+                      .timers()
+                      .after(
+                          Duration.ZERO,
+                          () -> {
+                            if (answer instanceof VmStatus status) {
+                              hear(status);
+                            }
+                          }));
+    }
+  }
+
   /** Reads the row of the leader beside the changes that are followed. */
   void readLeader() {
     var unused =
--- a/masticspread-cell/src/main/java/org/masticspread/cell/lead/Vm.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/lead/Vm.java
@@ -336,6 +336,8 @@
         roster.self().life(),
         leadership.leading(),
         leadership.epoch(),
+        leadership.leader().map(LeaderRecord::vm).orElse(""),
+        leadership.leader().map(LeaderRecord::life).orElse(""),
         configVersion(),
         leadership.hearsLeader(),
         storeReached,
@@ -444,7 +446,7 @@
                 ports.metrics(),
                 ports.limits()),
             config.get(),
-            leadership::readLeader);
+            leadership::fenced);
     jobs.forEach(job -> next.restore(job.record(), job.progress()));
     journal = Optional.of(fresh);
     workers.forEach(read -> readWorkers(next, read.rows(), read.all()));
@@ -529,6 +531,9 @@
                       .after(
                           Duration.ZERO,
                           () -> {
+                            if (answer instanceof VmStatus status) {
+                              leadership.hear(status);
+                            }
                             if (answer instanceof VmStatus status
                                 && !status.stopping()
                                 && (status.storeReached() || !mustReachStore)) {
@@ -609,7 +614,7 @@
   private final class Commits implements Journal.Listener {
     @Override
     public void deposed() {
-      leadership.readLeader();
+      leadership.fenced();
     }
 
     @Override
--- /dev/null
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/lead/VmTest.java
@@ -0,0 +1,264 @@
+package org.masticspread.cell.lead;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.masticspread.cell.testing.FakeTable.Fate;
+import org.masticspread.cell.testing.Jobs;
+import org.masticspread.cell.testing.VmCluster;
+import org.masticspread.model.cell.JobOrder;
+import org.masticspread.model.cell.JobState;
+import org.masticspread.model.peer.CellCall.Action;
+import org.masticspread.model.peer.CellReply;
+import org.masticspread.model.peer.CellReply.Outcome;
+import org.masticspread.model.resource.ResourceVector;
+
+/** Three VMs, of which one leads, under faults of VMs, links and store. */
+class VmTest {
+  private final VmCluster cluster =
+      new VmCluster(Jobs.config(Jobs.queue("checks", 0, Optional.empty())));
+
+  @BeforeEach
+  void start() {
+    cluster.workers.add("w1", "r1", 8000);
+    cluster.workers.add("w2", "r1", 8000);
+    cluster.start("vm-1", 1.0);
+    cluster.start("vm-2", 2.0);
+    cluster.start("vm-3", 0.5);
+    pass(2500);
+  }
+
+  @AfterEach
+  void should_never_break_a_promise() {
+    assertThat(cluster.workers.violations()).isEmpty();
+  }
+
+  private void pass(long millis) {
+    cluster.time.pass(Duration.ofMillis(millis));
+  }
+
+  private JobOrder job(String id, long millis) {
+    cluster.workers.describe(id, new ResourceVector(500, 1024, 0), Duration.ofMillis(millis));
+    return Jobs.job(id, Jobs.step(2, 500, Duration.ofMillis(millis), false));
+  }
+
+  private CellReply accept(String vm, String id, long millis) {
+    List<CellReply> replies = cluster.call(vm, Action.SUBMIT, id, job(id, millis));
+    pass(3100);
+    return replies.get(0);
+  }
+
+  private JobState state(String vm, String id) {
+    List<CellReply> replies = cluster.call(vm, Action.SHOW, id, null);
+    pass(100);
+    return replies.isEmpty() ? null : replies.get(0).state();
+  }
+
+  /** Submits a job each 50 ms at each VM in turn and returns all replies. */
+  private List<List<CellReply>> load(int jobs, String... vms) {
+    List<List<CellReply>> replies = new ArrayList<>();
+    for (int i = 0; i < jobs; i++) {
+      String id = "load" + cluster.time.millis();
+      replies.add(cluster.call(vms[i % vms.length], Action.SUBMIT, id, job(id, 200)));
+      pass(50);
+    }
+    pass(8000);
+    return replies;
+  }
+
+  private static long accepted(List<List<CellReply>> replies) {
+    return replies.stream()
+        .flatMap(List::stream)
+        .filter(reply -> reply.outcome() == Outcome.ACCEPTED)
+        .count();
+  }
+
+  /** Each accepted job has run, and each of its tasks succeeded once. */
+  private void assertAllRan(List<List<CellReply>> replies) {
+    List<String> succeeded = cluster.workers.succeeded();
+    assertThat(succeeded).hasSize(new HashSet<>(succeeded).size());
+    assertThat(succeeded.size()).isGreaterThanOrEqualTo((int) (2 * accepted(replies)));
+  }
+
+  @Nested
+  class Start {
+    @Test
+    void should_let_the_strongest_vm_lead() {
+      // THEN
+      assertThat(cluster.leaders()).containsExactly("vm-2");
+    }
+
+    @Test
+    void should_carry_calls_from_any_vm() {
+      // WHEN
+      CellReply reply = accept("vm-3", "a", 200);
+
+      // THEN
+      assertThat(reply.outcome()).isEqualTo(Outcome.ACCEPTED);
+      assertThat(state("vm-1", "a")).isEqualTo(JobState.SUCCEEDED);
+    }
+  }
+
+  @Nested
+  class Kill {
+    @Test
+    void should_serve_again_within_a_second_and_a_half() {
+      // WHEN
+      cluster.kill("vm-2");
+      pass(1500);
+
+      // THEN
+      assertThat(cluster.leaders()).containsExactly("vm-1");
+    }
+
+    @Test
+    void should_answer_callers_that_called_meanwhile() {
+      // GIVEN
+      cluster.kill("vm-2");
+
+      // WHEN
+      List<List<CellReply>> replies = load(60, "vm-1", "vm-3");
+
+      // THEN
+      assertThat(replies).allSatisfy(reply -> assertThat(reply).hasSize(1));
+      assertThat(accepted(replies)).isGreaterThanOrEqualTo(50);
+      assertAllRan(replies);
+    }
+
+    @Test
+    void should_take_over_at_once_what_its_own_former_life_led() {
+      // WHEN
+      cluster.kill("vm-1");
+      cluster.kill("vm-2");
+      cluster.kill("vm-3");
+      cluster.start("vm-2", 2.0);
+      pass(300);
+
+      // THEN
+      assertThat(cluster.leaders()).containsExactly("vm-2");
+    }
+
+    @Test
+    void should_survive_the_end_of_all_processes() {
+      // GIVEN
+      List<List<CellReply>> replies = load(20, "vm-1", "vm-3");
+      List<CellReply> last =
+          cluster.call("vm-1", Action.SUBMIT, "last", job("last", 3000));
+      pass(200);
+
+      // WHEN
+      List.of("vm-1", "vm-2", "vm-3").forEach(cluster::kill);
+      pass(1000);
+      List.of("vm-1", "vm-2", "vm-3").forEach(vm -> cluster.start(vm, 1.0));
+      pass(12_000);
+
+      // THEN
+      assertThat(last).extracting(CellReply::outcome).containsExactly(Outcome.ACCEPTED);
+      assertThat(state("vm-3", "last")).isEqualTo(JobState.SUCCEEDED);
+      assertAllRan(replies);
+    }
+  }
+
+  @Nested
+  class Stop {
+    @Test
+    void should_hand_over_before_it_ends() {
+      // GIVEN
+      boolean[] done = {false};
+
+      // WHEN
+      cluster.vm("vm-2").stop(() -> done[0] = true);
+      pass(300);
+
+      // THEN
+      assertThat(done[0]).isTrue();
+      assertThat(cluster.leaders()).containsExactly("vm-1");
+    }
+
+    @Test
+    void should_refuse_nothing_while_vms_stop_one_after_the_other() {
+      // GIVEN
+      cluster.vm("vm-2").stop(() -> cluster.kill("vm-2"));
+
+      // WHEN
+      List<List<CellReply>> first = load(20, "vm-1", "vm-3");
+      cluster.start("vm-2", 2.0);
+      pass(1000);
+      cluster.vm("vm-1").stop(() -> cluster.kill("vm-1"));
+      List<List<CellReply>> second = load(20, "vm-2", "vm-3");
+
+      // THEN
+      assertThat(accepted(first)).isEqualTo(20);
+      assertThat(accepted(second)).isEqualTo(20);
+      assertAllRan(first);
+    }
+  }
+
+  @Nested
+  class StoreCut {
+    @Test
+    void should_hand_over_when_only_the_leader_loses_the_store() {
+      // GIVEN
+      cluster.cutFromStore("vm-2", true);
+
+      // WHEN
+      List<List<CellReply>> replies = load(60, "vm-1", "vm-2", "vm-3");
+
+      // THEN
+      assertThat(cluster.leaders()).doesNotContain("vm-2");
+      assertThat(accepted(replies)).isGreaterThanOrEqualTo(40);
+      assertAllRan(replies);
+    }
+
+    @Test
+    void should_go_on_placing_while_nobody_reaches_the_store() {
+      // GIVEN
+      List<CellReply> replies = cluster.call("vm-1", Action.SUBMIT, "a", job("a", 2000));
+      pass(100);
+      cluster.table.always(Fate.SILENT);
+
+      // WHEN
+      pass(4000);
+
+      // THEN
+      assertThat(replies).extracting(CellReply::outcome).containsExactly(Outcome.ACCEPTED);
+      assertThat(cluster.leaders()).containsExactly("vm-2");
+      assertThat(cluster.workers.succeeded()).hasSize(2);
+      cluster.table.always(Fate.DONE);
+      pass(3000);
+      assertThat(state("vm-1", "a")).isEqualTo(JobState.SUCCEEDED);
+    }
+  }
+
+  @Nested
+  class PeerCut {
+    @Test
+    void should_replace_a_leader_that_no_other_vm_hears() {
+      // WHEN
+      cluster.cutFromPeers("vm-2", true);
+      List<List<CellReply>> replies = load(60, "vm-1", "vm-3");
+
+      // THEN
+      assertThat(cluster.leaders()).containsExactly("vm-1");
+      assertAllRan(replies);
+    }
+
+    @Test
+    void should_keep_the_leader_when_one_other_vm_is_cut_off() {
+      // WHEN
+      cluster.cutFromPeers("vm-3", true);
+      pass(1200);
+
+      // THEN
+      assertThat(cluster.leaders()).containsExactly("vm-2");
+    }
+  }
+}
--- a/masticspread-cell/src/test/java/org/masticspread/cell/testing/FakeTable.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/testing/FakeTable.java
@@ -142,10 +142,10 @@
             .filter(row -> row.table().equals(table) && row.part().equals(part))
             .filter(row -> row.key().compareTo(from) >= 0)
             .toList();
+    long asOf = version;
     return Single.create(
         emitter ->
-            time.after(
-                COMMIT_TIME, () -> emitter.onSuccess(new RowPage(found, false, version))));
+            time.after(COMMIT_TIME, () -> emitter.onSuccess(new RowPage(found, false, asOf))));
   }
 
   @Override
--- a/masticspread-model/src/main/java/org/masticspread/model/peer/VmStatus.java
+++ b/masticspread-model/src/main/java/org/masticspread/model/peer/VmStatus.java
@@ -6,6 +6,8 @@
  * @param life its incarnation, new with each start of the process
  * @param leading whether it leads the cell
  * @param epoch the newest epoch of leadership that it has heard of
+ * @param leaderVm the VM that leads in this epoch; empty if it knows none
+ * @param leaderLife the incarnation of that VM
  * @param configVersion the newest configuration that it has
  * @param hearsLeader whether it has had an answer of the leader lately
  * @param storeReached whether the store answered the read asked for
@@ -16,6 +18,8 @@
     String life,
     boolean leading,
     long epoch,
+    String leaderVm,
+    String leaderLife,
     long configVersion,
     boolean hearsLeader,
     boolean storeReached,
