Failures are kept by their runs; run times are expected by a regression; at most 100 workers in a call for advice

A gang with a bound a worker stopped asking too early. - Estimates of layouts are off by a factor of 2.5 and more; refusals by them were wrong.

--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Cell.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Cell.java
@@ -75,13 +75,8 @@
   /** Commits that fail for a moment only are not worth a refusal. */
   private static final Duration WITHDRAW_AFTER = Duration.ofMillis(200);
 
-  /** When a caller may come back that was refused since the store is away: its outages take 5 s. */
-  private static final Duration SHORTEST_STORE_RETRY = Duration.ofSeconds(1);
-
-  private static final Duration LONGEST_STORE_RETRY = Duration.ofSeconds(3);
-
-  /** A job comes back after this part of the time within which it is wanted. */
-  private static final int STORE_RETRY_PARTS = 4;
+  /** When a caller may come back that was refused since the store is away: callers wait 3 s. */
+  private static final Duration STORE_RETRY = Duration.ofSeconds(1);
 
   /** How long a call waits for a configuration that its sender has already seen. */
   private static final Duration CONFIG_WAIT = Duration.ofMillis(40);
@@ -291,7 +286,7 @@
       }
       if (storeAway()) {
         ports.metrics().counter("refused.store").inc();
-        refuse(order, reply, storeRetry(order, queue.get()), "the store does not answer");
+        refuse(order, reply, STORE_RETRY, "the store does not answer");
         return;
       }
       if (!admit(order, queue.get(), reply)) {
@@ -324,15 +319,6 @@
         || ports.journal().stalledFor().compareTo(STORE_AWAY) >= 0;
   }
 
-  /** A job that has more time may come back later, so that its few retries outlast the outage. */
-  private Duration storeRetry(JobOrder order, QueueRule queue) {
-    Duration part = scheduler.facts(order, queue).objective().dividedBy(STORE_RETRY_PARTS);
-    if (part.compareTo(SHORTEST_STORE_RETRY) < 0) {
-      return SHORTEST_STORE_RETRY;
-    }
-    return part.compareTo(LONGEST_STORE_RETRY) > 0 ? LONGEST_STORE_RETRY : part;
-  }
-
   /** Gives back jobs that cannot be stored now and certainly are not. */
   private void withdrawUnstored() {
     if (ports.journal().failingFor().compareTo(WITHDRAW_AFTER) < 0
@@ -340,14 +326,13 @@
       return;
     }
     for (Job job : jobs.accepting()) {
-      Optional<QueueRule> queue = queue(job);
-      if (queue.isEmpty() || !jobs.withdraw(job)) {
+      if (!jobs.withdraw(job)) {
         continue;
       }
       ports.metrics().counter("refused.store").inc();
       for (Consumer<CellReply> caller : job.callers) {
         refuse(
-            job.order, caller, storeRetry(job.order, queue.get()), "it could not be stored");
+            job.order, caller, STORE_RETRY, "it could not be stored");
       }
     }
   }
--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Job.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Job.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.TreeMap;
 import java.util.function.Consumer;
+import java.util.function.ToLongFunction;
 import org.masticspread.cell.journal.ProgressRecord;
 import org.masticspread.cell.journal.ProgressRecord.StepRecord;
 import org.masticspread.model.cell.JobOrder;
@@ -127,8 +128,8 @@
     }
   }
 
-  /** Returns the estimated time of the longest chain of steps. */
-  long pathMillis(double bias) {
+  /** Returns the time of the longest chain of steps, by the expected time of each. */
+  long pathMillis(ToLongFunction<StepSpec> expectedMillis) {
     long[] ends = new long[order.steps().size()];
     long longest = 0;
     for (int number = 0; number < ends.length; number++) {
@@ -137,7 +138,7 @@
       for (int earlier : spec.after()) {
         begin = Math.max(begin, earlier < number ? ends[earlier] : 0);
       }
-      ends[number] = begin + (long) (spec.estimate().toMillis() * bias);
+      ends[number] = begin + expectedMillis.applyAsLong(spec);
       longest = Math.max(longest, ends[number]);
     }
     return longest;
--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Reports.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Reports.java
@@ -168,17 +168,14 @@
     if (step.spec.lasting()) {
       return;
     }
-    if (end.run() <= task.lastFailedRun) {
+    if (!task.failedRuns.add(end.run())) {
       ports.log().event("task-failure-known", task.name, "run", end.run());
       return;
     }
-    task.lastFailedRun = end.run();
-    task.failures++;
-    if (step.spec.gang() && step.lastFailedGangRun < end.run()) {
-      step.lastFailedGangRun = end.run();
-      step.gangFailures++;
+    if (step.spec.gang()) {
+      step.failedGangRuns.add(end.run());
     }
-    int failures = Math.max(task.failures, step.gangFailures);
+    int failures = Math.max(task.failedRuns.size(), step.failedGangRuns.size());
     int most = cell.queue(step.job).map(queue -> queue.mostFailures()).orElse(1);
     if (failures >= most) {
       ports.log().event("job-failed", step.job.id(), "task", task.name, "failures", failures);
--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Scheduler.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Scheduler.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.ToLongFunction;
 import org.masticspread.cell.policy.Admission;
 import org.masticspread.cell.policy.Placement;
 import org.masticspread.cell.policy.Room;
@@ -135,8 +136,7 @@
   }
 
   private Candidate candidate(Step step, QueueRule queue) {
-    double bias = fleet.speeds.bias(queue.name());
-    long path = step.job.pathMillis(bias);
+    long path = step.job.pathMillis(spec -> expectedMillis(queue, spec));
     long objective = (long) (queue.stretch() * path) + queue.target().toMillis();
     long begin = step.job.acceptedMillis;
     if (step.job.order.recurrence().timed()) {
@@ -145,10 +145,14 @@
               step.job.order.recurrence().due(step.occurrence), cell.timeOfDay());
       begin = now() - ago.toMillis();
     }
-    long left = (long) (step.spec.estimate().toMillis() * bias);
+    long left = expectedMillis(queue, step.spec);
     return new Candidate(queue.priority(), begin + objective - left, step.name);
   }
 
+  private long expectedMillis(QueueRule queue, StepSpec spec) {
+    return (long) fleet.speeds.expectedMillis(queue.name(), spec.estimate().toMillis());
+  }
+
   private void startTasks(Waiting next, List<Worker> workers, Set<Worker> reserved) {
     Step step = next.step;
     boolean urgent = next.queue.priority() == 0;
@@ -195,7 +199,8 @@
       }
     }
     open.sort(Comparator.comparingDouble(worker -> cell.slowdown(worker, step.spec)));
-    int most = Math.max(ASKED_AT_LEAST, tasks * ASKED_PER_TASK);
+    int most =
+        Math.min(MOST_WORKERS_ASKED, Math.max(ASKED_AT_LEAST, tasks * ASKED_PER_TASK));
     ask(next, open.subList(0, Math.min(most, open.size())));
   }
 
@@ -260,11 +265,18 @@
   private static int slots(List<Worker> workers, Step step) {
     int slots = 0;
     for (Worker worker : workers) {
-      slots += Placement.times(step.spec.booked(), worker.capacity());
+      slots += mostTasks(step, worker);
     }
     return slots;
   }
 
+  /** Counts the tasks of a step that a worker could run if it were empty. */
+  private static int mostTasks(Step step, Worker worker) {
+    int fitting = Placement.times(step.spec.booked(), worker.capacity());
+    int most = step.spec.mostPerWorker();
+    return most == 0 ? fitting : Math.min(fitting, most);
+  }
+
   /** Keeps the workers that drain first free for a gang that waits for room. */
   private void reserve(
       Step step, List<Worker> possible, Set<Worker> reserved, int gangsBlocked) {
@@ -278,7 +290,7 @@
       if (found >= step.tasks.size()) {
         return;
       }
-      found += Placement.times(step.spec.booked(), worker.capacity());
+      found += mostTasks(step, worker);
       reserved.add(worker);
     }
   }
@@ -377,8 +389,9 @@
 
   /** Returns what the admission of a job rests on. */
   Admission.Facts facts(JobOrder order, QueueRule queue) {
-    double bias = fleet.speeds.bias(queue.name());
-    long path = new Job(order, cell.timeOfDay(), ports.term().epoch(), now()).pathMillis(bias);
+    long path =
+        new Job(order, cell.timeOfDay(), ports.term().epoch(), now())
+            .pathMillis(spec -> expectedMillis(queue, spec));
     long width = 0;
     for (StepSpec step : order.steps()) {
       width = Math.max(width, step.tasks() * step.booked().millicores());
@@ -405,7 +418,7 @@
       Optional<QueueRule> other = cell.queue(job);
       if (other.isPresent() && other.get().endpoint().equals(queue.endpoint())) {
         boolean before = other.get().priority() <= queue.priority();
-        backlog.add(job, fleet.speeds.bias(other.get().name()), before);
+        backlog.add(job, spec -> expectedMillis(other.get(), spec), before);
       }
     }
     return backlog;
@@ -416,11 +429,11 @@
     private double waitingCoreMillis;
     private double runningCoreMillis;
 
-    void add(Job job, double bias, boolean before) {
+    void add(Job job, ToLongFunction<StepSpec> expectedMillis, boolean before) {
       for (List<Step> steps : job.occurrences.values()) {
         for (Step step : steps) {
           long millicores = step.spec.booked().millicores();
-          double each = millicores / 1000.0 * step.spec.estimate().toMillis() * bias;
+          double each = millicores / 1000.0 * expectedMillis.applyAsLong(step.spec);
           boolean ready = job.ready(step);
           for (Task task : step.tasks) {
             if (task.run != null) {
--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Step.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Step.java
@@ -5,6 +5,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
 import org.masticspread.cell.journal.ProgressRecord.Checkpoint;
 import org.masticspread.cell.journal.ProgressRecord.Failures;
 import org.masticspread.cell.journal.ProgressRecord.StepRecord;
@@ -20,8 +22,10 @@
   final List<Task> tasks = new ArrayList<>();
   final Map<String, Approval> approvals = new HashMap<>();
   int succeeded;
-  int gangFailures;
-  long lastFailedGangRun;
+
+  /** The runs of the gang that failed. */
+  final Set<Long> failedGangRuns = new TreeSet<>();
+
   boolean adviceInFlight;
   long adviceNotBeforeMillis;
 
@@ -67,8 +71,8 @@
 
   boolean changed() {
     return succeeded > 0
-        || gangFailures > 0
-        || tasks.stream().anyMatch(t -> t.failures > 0 || !t.checkpoint.isEmpty());
+        || !failedGangRuns.isEmpty()
+        || tasks.stream().anyMatch(t -> !t.failedRuns.isEmpty() || !t.checkpoint.isEmpty());
   }
 
   StepRecord record() {
@@ -77,15 +81,15 @@
     List<Checkpoint> checkpoints = new ArrayList<>();
     for (Task task : tasks) {
       bits.set(task.index, task.succeeded);
-      if (task.failures > 0) {
-        failures.add(new Failures(task.index, task.failures, task.lastFailedRun));
+      if (!task.failedRuns.isEmpty()) {
+        failures.add(new Failures(task.index, List.copyOf(task.failedRuns)));
       }
       if (!task.checkpoint.isEmpty() && !task.succeeded) {
         checkpoints.add(new Checkpoint(task.index, task.checkpoint));
       }
     }
     return new StepRecord(
-        occurrence, number, bits.toByteArray(), gangFailures, lastFailedGangRun, failures, checkpoints);
+        occurrence, number, bits.toByteArray(), List.copyOf(failedGangRuns), failures, checkpoints);
   }
 
   void restore(StepRecord saved) {
@@ -95,11 +99,9 @@
         succeed(task);
       }
     }
-    gangFailures = saved.gangFailures();
-    lastFailedGangRun = saved.lastFailedGangRun();
+    failedGangRuns.addAll(saved.failedGangRuns());
     for (Failures failed : saved.failures()) {
-      tasks.get(failed.task()).failures = failed.count();
-      tasks.get(failed.task()).lastFailedRun = failed.lastRun();
+      tasks.get(failed.task()).failedRuns.addAll(failed.runs());
     }
     for (Checkpoint point : saved.checkpoints()) {
       tasks.get(point.task()).checkpoint = point.value();
--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Task.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Task.java
@@ -1,14 +1,16 @@
 package org.masticspread.cell.engine;
 
+import java.util.Set;
+import java.util.TreeSet;
+
 /** One task of a step. Confined to the cell. */
 final class Task {
   final Step step;
   final int index;
   final String name;
-  int failures;
 
-  /** The newest run that counts as a failure. */
-  long lastFailedRun;
+  /** The runs that failed. */
+  final Set<Long> failedRuns = new TreeSet<>();
 
   boolean succeeded;
   String checkpoint = "";
--- a/masticspread-cell/src/main/java/org/masticspread/cell/journal/ProgressRecord.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/journal/ProgressRecord.java
@@ -22,34 +22,38 @@
    * @param occurrence the occurrence of the job
    * @param step the number of the step
    * @param succeeded the tasks that succeeded, as the bytes of a bit set
-   * @param gangFailures how many runs of the gang have failed
-   * @param lastFailedGangRun the newest of these runs; an end may be told again after a takeover
-   * @param failures how often tasks have failed
+   * @param failedGangRuns the runs of the gang that have failed
+   * @param failures the failures of its tasks
    * @param checkpoints the newest checkpoints
    */
   public record StepRecord(
       int occurrence,
       int step,
       byte[] succeeded,
-      int gangFailures,
-      long lastFailedGangRun,
+      List<Long> failedGangRuns,
       List<Failures> failures,
       List<Checkpoint> checkpoints) {
     /** Copies the lists. */
     public StepRecord {
+      failedGangRuns = List.copyOf(failedGangRuns);
       failures = List.copyOf(failures);
       checkpoints = List.copyOf(checkpoints);
     }
   }
 
   /**
-   * How often a task has failed.
+   * The failures of a task. Its runs are kept, since an end may be told again after a takeover, and
+   * ends of several workers come in any order.
    *
    * @param task its index
-   * @param count how often
-   * @param lastRun the newest run that failed; an end may be told again after a takeover
+   * @param runs the runs that failed
    */
-  public record Failures(int task, int count, long lastRun) {}
+  public record Failures(int task, List<Long> runs) {
+    /** Copies the list. */
+    public Failures {
+      runs = List.copyOf(runs);
+    }
+  }
 
   /**
    * A checkpoint of a task.
--- a/masticspread-cell/src/main/java/org/masticspread/cell/policy/SpeedBook.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/policy/SpeedBook.java
@@ -4,22 +4,19 @@
 import java.util.Map;
 
 /**
- * Learns how fast each worker works and how far the estimates of each queue are off, from runs that
- * ended. A run's ratio of real to estimated time is the product of both; each is a moving mean of
- * what the other leaves.
+ * Learns how fast each worker works, and what the estimates of each queue are worth, from runs that
+ * ended. The expected time of a task is a regression of the logarithm of real times on that of
+ * estimates: where estimates are rough, it stays near the mean of the queue.
  */
 public final class SpeedBook {
   /** The weight of a new run for a worker: about ten runs count. */
   private static final double WORKER_WEIGHT = 0.12;
 
-  /** The weight of a new run for a queue: about fifty runs count. */
-  private static final double QUEUE_WEIGHT = 0.02;
-
   /** Beyond this a single run says more about the task than about the worker. */
   private static final double MOST_LOG_RATIO = 1.5;
 
   private final Map<String, Double> workers = new HashMap<>();
-  private final Map<String, Double> queues = new HashMap<>();
+  private final Map<String, Regression> queues = new HashMap<>();
 
   /**
    * Notes a run that succeeded.
@@ -33,11 +30,12 @@
     if (estimateMillis <= 0 || tookMillis <= 0) {
       return;
     }
-    double ratio = clamp(Math.log(tookMillis / estimateMillis));
-    double ofQueue = queues.getOrDefault(queue, 0.0);
     double ofWorker = workers.getOrDefault(worker, 0.0);
-    workers.put(worker, ofWorker + WORKER_WEIGHT * (ratio - ofQueue - ofWorker));
-    queues.put(queue, ofQueue + QUEUE_WEIGHT * (ratio - ofWorker - ofQueue));
+    double real = Math.log(tookMillis);
+    Regression queueTimes = queues.computeIfAbsent(queue, name -> new Regression());
+    double expected = queueTimes.at(Math.log(estimateMillis));
+    workers.put(worker, ofWorker + WORKER_WEIGHT * (clamp(real - expected) - ofWorker));
+    queueTimes.add(Math.log(estimateMillis), real - ofWorker);
   }
 
   /**
@@ -71,16 +69,65 @@
   }
 
   /**
-   * Returns how many times longer than estimated the tasks of a queue take.
+   * Returns the expected time of a task on a worker of speed 1.
    *
-   * @param queue the queue
-   * @return the factor, 1 if nothing is known
+   * @param queue its queue
+   * @param estimateMillis its estimate
+   * @return the time in ms; the estimate if nothing is known
    */
-  public double bias(String queue) {
-    return Math.exp(queues.getOrDefault(queue, 0.0));
+  public double expectedMillis(String queue, double estimateMillis) {
+    Regression times = queues.get(queue);
+    if (times == null || estimateMillis <= 0) {
+      return estimateMillis;
+    }
+    return Math.exp(times.at(Math.log(estimateMillis)));
   }
 
   private static double clamp(double log) {
     return Math.max(-MOST_LOG_RATIO, Math.min(MOST_LOG_RATIO, log));
   }
+
+  /** A line through points, with older points fading; begins as the line through all estimates. */
+  private static final class Regression {
+    /** The weight of the points before: some hundred runs count. */
+    private static final double FADING = 0.995;
+
+    /** Points that say that estimates are right, before any run says otherwise. */
+    private static final double PRIOR_POINTS = 4;
+
+    /** The spread of the prior points, in logarithms: a factor of 2 either way. */
+    private static final double PRIOR_VARIANCE = 0.5;
+
+    private double count;
+    private double sumX;
+    private double sumY;
+    private double sumXx;
+    private double sumXy;
+
+    void add(double x, double y) {
+      if (count == 0) {
+        count = PRIOR_POINTS;
+        sumX = PRIOR_POINTS * x;
+        sumY = PRIOR_POINTS * x;
+        sumXx = PRIOR_POINTS * (x * x + PRIOR_VARIANCE);
+        sumXy = sumXx;
+      }
+      count = FADING * count + 1;
+      sumX = FADING * sumX + x;
+      sumY = FADING * sumY + y;
+      sumXx = FADING * sumXx + x * x;
+      sumXy = FADING * sumXy + x * y;
+    }
+
+    double at(double x) {
+      if (count == 0) {
+        return x;
+      }
+      double meanX = sumX / count;
+      double meanY = sumY / count;
+      double variance = Math.max(1e-6, sumXx / count - meanX * meanX);
+      double slope = (sumXy / count - meanX * meanY) / variance;
+      return meanY + Math.max(0, Math.min(1, slope)) * (x - meanX);
+    }
+  }
 }
--- a/masticspread-cell/src/test/java/org/masticspread/cell/engine/CellTest.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/engine/CellTest.java
@@ -293,6 +293,37 @@
     }
   }
 
+  @Nested
+  class FailuresInAnyOrder {
+    @Test
+    void should_count_an_older_failure_that_is_heard_after_a_newer_one() {
+      // GIVEN two failures on two workers that no leader has heard
+      fixture.workers.state("w1").failsAll = true;
+      fixture.workers.state("w2").failsAll = true;
+      fixture.workers.state("w3").failsAll = true;
+      fixture.accept(job("a", 1, 1000, SHORT, false));
+      while (fixture.startsOf("a.0.0.0") < 2) {
+        pass(5);
+      }
+      fixture.cell.close();
+      pass(400);
+      String second = fixture.workers.starts().get(1).split(" ")[0];
+      String first = fixture.workers.starts().get(0).split(" ")[0];
+      boolean apart = !first.equals(second);
+
+      // WHEN the newer failure is heard first
+      fixture.workers.state(first).silent = apart;
+      fixture.lead();
+      pass(100);
+      fixture.workers.state(first).silent = false;
+      pass(30_000);
+
+      // THEN
+      assertThat(fixture.startsOf("a.0.0.0")).isEqualTo(3);
+      assertThat(fixture.state("a")).isEqualTo(JobState.FAILED);
+    }
+  }
+
   @Nested
   class UnknownStart {
     @Test
