--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Cell.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Cell.java
@@ -179,8 +179,31 @@
     }
   }
 
-  CellConfig config() {
-    return config;
+  /**
+   * Counts the jobs that have not ended.
+   *
+   * @return the count
+   */
+  public int openJobs() {
+    return jobs.open().size();
+  }
+
+  /**
+   * Counts the workers.
+   *
+   * @return the count
+   */
+  public int workers() {
+    return fleet.all().size();
+  }
+
+  /**
+   * Counts the workers that may get a new task.
+   *
+   * @return the count
+   */
+  public int usableWorkers() {
+    return (int) List.copyOf(fleet.all()).stream().filter(fleet::usable).count();
   }
 
   Optional<QueueRule> queue(Job job) {
@@ -302,12 +325,14 @@
               });
     }
     Job job = jobs.find(order.id()).orElseThrow();
+    long begun = now();
     job.callers.add(reply);
     ports
         .journal()
         .whenDurable(
             () -> {
               if (job.durable) {
+                ports.metrics().histogram("accept.ms").update(now() - begun);
                 reply.accept(CellReply.of(CellReply.Outcome.ACCEPTED, ""));
               }
             });
--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Launcher.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Launcher.java
@@ -2,6 +2,7 @@
 
 import com.codahale.metrics.MetricRegistry;
 import java.time.Duration;
+import java.util.Locale;
 import org.masticspread.cell.port.WorkerPort.OrderResult;
 import org.masticspread.cell.port.WorkerPort.Outcome;
 import org.masticspread.cell.port.WorkerPort.Start;
@@ -41,6 +42,10 @@
     worker.leaseUntilMillis = Math.max(worker.leaseUntilMillis, leaseEnd);
     Job job = task.step.job;
     if (job.state == JobState.QUEUED) {
+      ports
+          .metrics()
+          .histogram(MetricRegistry.name("job.wait.ms", job.order.queue()))
+          .update(now() - job.acceptedMillis);
       job.state = JobState.RUNNING;
       job.shown = JobState.RUNNING;
     }
@@ -161,7 +166,7 @@
   }
 
   private void count(String kind, Outcome outcome) {
-    ports.metrics().counter(MetricRegistry.name(kind, outcome.name().toLowerCase())).inc();
+    ports.metrics().counter(MetricRegistry.name(kind, outcome.name().toLowerCase(Locale.ROOT))).inc();
   }
 
   private long now() {
--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Reports.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Reports.java
@@ -1,8 +1,10 @@
 package org.masticspread.cell.engine;
 
+import com.codahale.metrics.MetricRegistry;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
 import org.masticspread.cell.policy.Placement;
@@ -103,7 +105,7 @@
         .log()
         .event("task-ended", end.task(), "run", end.run(), "how", end.how(), "worker",
             worker.id(), "number", end.number());
-    ports.metrics().counter("ends." + end.how().name().toLowerCase()).inc();
+    ports.metrics().counter("ends." + end.how().name().toLowerCase(Locale.ROOT)).inc();
     found.ifPresent(task -> apply(worker, task, run, end));
     if (run != null) {
       cell.over(run, "ended");
@@ -155,6 +157,10 @@
       }
     }
     if (step.job.allDone()) {
+      ports
+          .metrics()
+          .histogram(MetricRegistry.name("job.age.ms", step.job.order.queue()))
+          .update(now() - step.job.acceptedMillis);
       ports.log().event("job-succeeded", step.job.id(), "ageMs", now() - step.job.acceptedMillis);
       jobs.end(step.job, JobState.SUCCEEDED);
     }
--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Scheduler.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Scheduler.java
@@ -367,6 +367,7 @@
     if (cell.closed()) {
       return;
     }
+    ports.metrics().histogram("advice.ms").update(now() - asked);
     ports
         .log()
         .event("step-advice", step.name, "asked", lives.size(), "answered", reply.answered(),
--- a/masticspread-cell/src/main/java/org/masticspread/cell/lead/Vm.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/lead/Vm.java
@@ -115,6 +115,7 @@
    */
   public void start(Consumer<CellConfig> listener) {
     configListener = listener;
+    VmGauges.register(ports.metrics(), this);
     operator.start();
     register();
     vms.start();
@@ -123,6 +124,16 @@
     watchCommits();
   }
 
+  /** Returns for how long commits have failed, in ms. */
+  long storeFailingMillis() {
+    return journal.map(j -> j.failingFor().toMillis()).orElse(0L);
+  }
+
+  /** Returns the newest epoch of leadership that this VM knows. */
+  long epoch() {
+    return leadership.epoch();
+  }
+
   private void watchCommits() {
     storeDoubtful();
     ports.timers().after(WATCH_EVERY, this::watchCommits);
--- /dev/null
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/policy/SpeedBookTest.java
@@ -0,0 +1,58 @@
+package org.masticspread.cell.policy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.within;
+
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+
+class SpeedBookTest {
+  private static final long SEED = 7;
+
+  private final SpeedBook book = new SpeedBook();
+
+  @Test
+  void should_learn_slow_workers_from_good_estimates() {
+    // WHEN
+    Random random = new Random(SEED);
+    for (int i = 0; i < 400; i++) {
+      double real = 800 * Math.exp(0.5 * random.nextGaussian());
+      double estimate = real * Math.exp(0.2 * random.nextGaussian());
+      boolean slow = i % 4 == 0;
+      book.ran("checks", slow ? "slow" : "fast", estimate, real / (slow ? 0.55 : 1.2));
+    }
+
+    // THEN
+    assertThat(book.speed("fast") / book.speed("slow")).isCloseTo(1.2 / 0.55, within(0.5));
+  }
+
+  @Test
+  void should_stay_near_the_mean_where_estimates_are_rough() {
+    // WHEN
+    Random random = new Random(SEED);
+    for (int i = 0; i < 400; i++) {
+      double real = 4000 * Math.exp(0.5 * random.nextGaussian());
+      book.ran("layouts", "w", real * Math.exp(0.9 * random.nextGaussian()), real);
+    }
+
+    // THEN
+    assertThat(book.expectedMillis("layouts", 1000)).isBetween(2000.0, 4200.0);
+    assertThat(book.expectedMillis("layouts", 16_000)).isBetween(3800.0, 8000.0);
+  }
+
+  @Test
+  void should_believe_estimates_before_any_run() {
+    // WHEN / THEN
+    assertThat(book.expectedMillis("new", 1234)).isEqualTo(1234);
+    assertThat(book.speed("new")).isEqualTo(1);
+  }
+
+  @Test
+  void should_learn_nothing_from_a_task_without_an_estimate() {
+    // WHEN
+    book.ran("checks", "w", 0, 500);
+
+    // THEN
+    assertThat(book.speed("w")).isEqualTo(1);
+  }
+}
--- /dev/null
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/policy/StartOrderTest.java
@@ -0,0 +1,35 @@
+package org.masticspread.cell.policy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.masticspread.cell.policy.StartOrder.Candidate;
+
+class StartOrderTest {
+  private static List<String> order(Candidate... candidates) {
+    return Stream.of(candidates).sorted(StartOrder.at(1000)).map(Candidate::job).toList();
+  }
+
+  @Test
+  void should_start_urgent_queues_first() {
+    // WHEN / THEN
+    assertThat(order(new Candidate(2, 1100, "batch"), new Candidate(0, 9000, "check")))
+        .containsExactly("check", "batch");
+  }
+
+  @Test
+  void should_start_what_has_least_time_left_first() {
+    // WHEN / THEN
+    assertThat(order(new Candidate(1, 5000, "b"), new Candidate(1, 2000, "a")))
+        .containsExactly("a", "b");
+  }
+
+  @Test
+  void should_not_make_more_work_late_for_what_is_late_anyway() {
+    // WHEN / THEN
+    assertThat(order(new Candidate(1, 900, "late"), new Candidate(1, 2000, "in time")))
+        .containsExactly("in time", "late");
+  }
+}
