--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Cell.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Cell.java
@@ -293,8 +293,7 @@
       case CANCEL -> cancel(call.job(), reply);
       case COUNT ->
           reply.accept(
-              new CellReply(
-                  CellReply.Outcome.COUNTED, null, jobs.waiting(call.queue()), 0, ""));
+              new CellReply(CellReply.Outcome.COUNTED, null, jobs.waiting(call.queue()), 0, ""));
       default -> throw new IllegalStateException("action: " + call.action());
     }
   }
@@ -356,8 +355,7 @@
       }
       ports.metrics().counter("refused.store").inc();
       for (Consumer<CellReply> caller : job.callers) {
-        refuse(
-            job.order, caller, STORE_RETRY, "it could not be stored");
+        refuse(job.order, caller, STORE_RETRY, "it could not be stored");
       }
     }
   }
@@ -371,10 +369,21 @@
     if (decision.accepted()) {
       ports
           .log()
-          .event("job-accept", order.id(), "queue", order.queue(), "expectedMs",
-              decision.expected().toMillis(), "objectiveMs", facts.objective().toMillis(),
-              "waitingCoreMs", facts.waitingCoreMillis(), "freeMillicores",
-              facts.freeMillicores(), "capacityMillicores", facts.capacityMillicores());
+          .event(
+              "job-accept",
+              order.id(),
+              "queue",
+              order.queue(),
+              "expectedMs",
+              decision.expected().toMillis(),
+              "objectiveMs",
+              facts.objective().toMillis(),
+              "waitingCoreMs",
+              facts.waitingCoreMillis(),
+              "freeMillicores",
+              facts.freeMillicores(),
+              "capacityMillicores",
+              facts.capacityMillicores());
       return true;
     }
     ports.metrics().counter("refused.backlog").inc();
@@ -393,11 +402,17 @@
       JobOrder order, Consumer<CellReply> reply, Duration retryAfter, String reason) {
     ports
         .log()
-        .event("job-refuse", order.id(), "queue", order.queue(), "reason", reason,
-            "retryAfterMs", retryAfter.toMillis());
+        .event(
+            "job-refuse",
+            order.id(),
+            "queue",
+            order.queue(),
+            "reason",
+            reason,
+            "retryAfterMs",
+            retryAfter.toMillis());
     reply.accept(
-        new CellReply(
-            CellReply.Outcome.REFUSED, null, 0, (int) retryAfter.toMillis(), reason));
+        new CellReply(CellReply.Outcome.REFUSED, null, 0, (int) retryAfter.toMillis(), reason));
   }
 
   private void show(String id, Consumer<CellReply> reply) {
@@ -422,13 +437,16 @@
     if (!job.get().state.ended()) {
       ports
           .log()
-          .event("job-cancel", id, "ageMs", now() - job.get().acceptedMillis, "state",
+          .event(
+              "job-cancel",
+              id,
+              "ageMs",
+              now() - job.get().acceptedMillis,
+              "state",
               job.get().state);
       endEarly(job.get(), JobState.CANCELLED);
     }
-    ports
-        .journal()
-        .whenDurable(() -> reply.accept(CellReply.of(CellReply.Outcome.CANCELLED, "")));
+    ports.journal().whenDurable(() -> reply.accept(CellReply.of(CellReply.Outcome.CANCELLED, "")));
   }
 
   /** Ends a job and stops what it runs. */
@@ -550,11 +568,19 @@
     if (worker.failedRenewals == 0) {
       ports
           .log()
-          .event("worker-lost", worker.id(), "outcome", outcome, "runs", worker.runs.size(),
-              "heardMsAgo", now() - worker.heardMillis);
+          .event(
+              "worker-lost",
+              worker.id(),
+              "outcome",
+              outcome,
+              "runs",
+              worker.runs.size(),
+              "heardMsAgo",
+              now() - worker.heardMillis);
     }
     worker.failedRenewals++;
-    if (worker.gone() && now() - worker.missingSinceMillis > DROP_AFTER.toMillis()
+    if (worker.gone()
+        && now() - worker.missingSinceMillis > DROP_AFTER.toMillis()
         && worker.runs.isEmpty()) {
       ports.log().event("worker-dropped", worker.id());
       fleet.remove(worker);
@@ -587,7 +613,12 @@
     }
     ports
         .log()
-        .event("worker-lapsed", worker.id(), "runs", worker.runs.size(), "heardMsAgo",
+        .event(
+            "worker-lapsed",
+            worker.id(),
+            "runs",
+            worker.runs.size(),
+            "heardMsAgo",
             now() - worker.heardMillis);
     for (Run run : List.copyOf(worker.runs.values())) {
       over(run, "lapsed");
@@ -609,8 +640,17 @@
         fleet.troubles.putAside(worker.id(), now());
         ports
             .log()
-            .event("task-stands", run.taskName, "run", run.number, "worker", worker.id(),
-                "percent", run.percent, "sinceMs", now() - run.progressAtMillis);
+            .event(
+                "task-stands",
+                run.taskName,
+                "run",
+                run.number,
+                "worker",
+                worker.id(),
+                "percent",
+                run.percent,
+                "sinceMs",
+                now() - run.progressAtMillis);
         launcher.stop(run, "stands still");
       }
     }
--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Launcher.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Launcher.java
@@ -130,7 +130,14 @@
       run.stopWanted = true;
       ports
           .log()
-          .event("task-stop", run.taskName, "run", run.number, "reason", reason, "worker",
+          .event(
+              "task-stop",
+              run.taskName,
+              "run",
+              run.number,
+              "reason",
+              reason,
+              "worker",
               run.worker.id());
     }
     if (run.stopInFlight || run.stopConfirmedMillis >= 0) {
@@ -166,7 +173,10 @@
   }
 
   private void count(String kind, Outcome outcome) {
-    ports.metrics().counter(MetricRegistry.name(kind, outcome.name().toLowerCase(Locale.ROOT))).inc();
+    ports
+        .metrics()
+        .counter(MetricRegistry.name(kind, outcome.name().toLowerCase(Locale.ROOT)))
+        .inc();
   }
 
   private long now() {
--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Reports.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Reports.java
@@ -44,8 +44,15 @@
       worker.heard = true;
       ports
           .log()
-          .event("worker-heard", worker.id(), "running", view.running().size(), "ended",
-              view.ended().size(), "epoch", ports.term().epoch());
+          .event(
+              "worker-heard",
+              worker.id(),
+              "running",
+              view.running().size(),
+              "ended",
+              view.ended().size(),
+              "epoch",
+              ports.term().epoch());
     }
     worker.readClock(view.clockMillis(), now());
     worker.heardMillis = now();
@@ -57,7 +64,14 @@
     if (worker.life != 0) {
       ports
           .log()
-          .event("worker-new-life", worker.id(), "life", born, "before", worker.life, "runs",
+          .event(
+              "worker-new-life",
+              worker.id(),
+              "life",
+              born,
+              "before",
+              worker.life,
+              "runs",
               worker.runs.size());
       fleet.speeds.forget(worker.id());
       fleet.troubles.succeeded(worker.id());
@@ -103,8 +117,17 @@
     Optional<Task> found = jobs.task(end.task());
     ports
         .log()
-        .event("task-ended", end.task(), "run", end.run(), "how", end.how(), "worker",
-            worker.id(), "number", end.number());
+        .event(
+            "task-ended",
+            end.task(),
+            "run",
+            end.run(),
+            "how",
+            end.how(),
+            "worker",
+            worker.id(),
+            "number",
+            end.number());
     ports.metrics().counter("ends." + end.how().name().toLowerCase(Locale.ROOT)).inc();
     found.ifPresent(task -> apply(worker, task, run, end));
     if (run != null) {
@@ -230,10 +253,8 @@
         found
             .map(task -> task.waiting() && !task.step.job.state.ended() && task.step.job.durable)
             .orElse(false);
-    ResourceVector booked =
-        found.map(task -> task.step.spec.booked()).orElse(ResourceVector.ZERO);
-    Run run =
-        new Run(row.task(), row.run(), worker, booked, needed ? found.get() : null);
+    ResourceVector booked = found.map(task -> task.step.spec.booked()).orElse(ResourceVector.ZERO);
+    Run run = new Run(row.task(), row.run(), worker, booked, needed ? found.get() : null);
     run.startedAtMillis = now();
     run.enter(Run.Phase.RUNNING, now());
     worker.book(run);
--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Scheduler.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Scheduler.java
@@ -75,8 +75,7 @@
     Set<Worker> reserved = new HashSet<>();
     int gangsBlocked = 0;
     for (Waiting next : waiting) {
-      List<Worker> workers =
-          usable.computeIfAbsent(next.queue.endpoint(), fleet::usable);
+      List<Worker> workers = usable.computeIfAbsent(next.queue.endpoint(), fleet::usable);
       if (next.step.spec.gang()) {
         gangsBlocked += startGang(next, workers, reserved, gangsBlocked) ? 0 : 1;
       } else {
@@ -95,9 +94,7 @@
           watchPartialGang(step);
         }
         boolean startable =
-            step.spec.gang()
-                ? !step.anyRun()
-                : step.tasks.stream().anyMatch(Task::waiting);
+            step.spec.gang() ? !step.anyRun() : step.tasks.stream().anyMatch(Task::waiting);
         if (startable) {
           if (step.readyAtMillis < 0) {
             step.readyAtMillis = now();
@@ -141,8 +138,7 @@
     long begin = step.job.acceptedMillis;
     if (step.job.order.recurrence().timed()) {
       Duration ago =
-          Duration.between(
-              step.job.order.recurrence().due(step.occurrence), cell.timeOfDay());
+          Duration.between(step.job.order.recurrence().due(step.occurrence), cell.timeOfDay());
       begin = now() - ago.toMillis();
     }
     long left = expectedMillis(queue, step.spec);
@@ -185,8 +181,7 @@
     }
   }
 
-  private void askForTasks(
-      Waiting next, List<Worker> workers, Set<Worker> reserved, int tasks) {
+  private void askForTasks(Waiting next, List<Worker> workers, Set<Worker> reserved, int tasks) {
     Step step = next.step;
     boolean urgent = next.queue.priority() == 0;
     List<Worker> open = new ArrayList<>();
@@ -199,8 +194,7 @@
       }
     }
     open.sort(Comparator.comparingDouble(worker -> cell.slowdown(worker, step.spec)));
-    int most =
-        Math.min(MOST_WORKERS_ASKED, Math.max(ASKED_AT_LEAST, tasks * ASKED_PER_TASK));
+    int most = Math.min(MOST_WORKERS_ASKED, Math.max(ASKED_AT_LEAST, tasks * ASKED_PER_TASK));
     ask(next, open.subList(0, Math.min(most, open.size())));
   }
 
@@ -243,8 +237,7 @@
       ask(next, unknown.subList(0, Math.min(MOST_WORKERS_ASKED, unknown.size())));
       return false;
     }
-    List<Room> soon =
-        Placement.gang(possible, step.spec, step.name, ports.limits().farSlowdown());
+    List<Room> soon = Placement.gang(possible, step.spec, step.name, ports.limits().farSlowdown());
     if (!soon.isEmpty()) {
       List<Worker> again = new ArrayList<>();
       soon.forEach(room -> addOnce(again, (Worker) room));
@@ -278,8 +271,7 @@
   }
 
   /** Keeps the workers that drain first free for a gang that waits for room. */
-  private void reserve(
-      Step step, List<Worker> possible, Set<Worker> reserved, int gangsBlocked) {
+  private void reserve(Step step, List<Worker> possible, Set<Worker> reserved, int gangsBlocked) {
     if (gangsBlocked >= GANGS_AHEAD) {
       return;
     }
@@ -334,8 +326,7 @@
   private boolean worthAsking(Step step, Worker worker) {
     Step.Approval approval = approval(step, worker);
     return approval == null
-        || (approval.approved()
-            && approval.untilMillis() <= now() + TICKET_MARGIN.toMillis());
+        || (approval.approved() && approval.untilMillis() <= now() + TICKET_MARGIN.toMillis());
   }
 
   private static String ticket(Step step, Worker worker) {
@@ -370,8 +361,17 @@
     ports.metrics().histogram("advice.ms").update(now() - asked);
     ports
         .log()
-        .event("step-advice", step.name, "asked", lives.size(), "answered", reply.answered(),
-            "approved", reply.tickets().size(), "tookMs", now() - asked);
+        .event(
+            "step-advice",
+            step.name,
+            "asked",
+            lives.size(),
+            "answered",
+            reply.answered(),
+            "approved",
+            reply.tickets().size(),
+            "tookMs",
+            now() - asked);
     if (!reply.answered()) {
       step.adviceNotBeforeMillis = now() + ADVICE_PAUSE.toMillis();
       cell.requestPass();
@@ -397,8 +397,7 @@
     for (StepSpec step : order.steps()) {
       width = Math.max(width, step.tasks() * step.booked().millicores());
     }
-    long advice =
-        queue.advice().map(rule -> rule.callTime(ASKED_AT_LEAST).toMillis()).orElse(0L);
+    long advice = queue.advice().map(rule -> rule.callTime(ASKED_AT_LEAST).toMillis()).orElse(0L);
     long objective = (long) (queue.stretch() * path) + queue.target().toMillis();
     Backlog backlog = backlog(queue);
     return new Admission.Facts(
--- a/masticspread-cell/src/main/java/org/masticspread/cell/gateway/Gateway.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/gateway/Gateway.java
@@ -136,8 +136,15 @@
                 Outcome.REFUSED, null, 0, (int) RETRY_AFTER.toMillis(), "no leader in time");
     ports
         .log()
-        .event("call-given-up", trip.call.job(), "action", trip.call.action(), "leader",
-            vm.leader().map(LeaderRecord::vm).orElse(""), "outcome", reply.outcome());
+        .event(
+            "call-given-up",
+            trip.call.job(),
+            "action",
+            trip.call.action(),
+            "leader",
+            vm.leader().map(LeaderRecord::vm).orElse(""),
+            "outcome",
+            reply.outcome());
     end(trip, reply);
   }
 
@@ -155,8 +162,7 @@
     private boolean maybeTaken;
     private boolean ended;
 
-    Trip(
-        CellCall call, long searchUntilMillis, long untilMillis, Consumer<CellReply> reply) {
+    Trip(CellCall call, long searchUntilMillis, long untilMillis, Consumer<CellReply> reply) {
       this.call = call;
       this.searchUntilMillis = searchUntilMillis;
       this.untilMillis = untilMillis;
--- a/masticspread-cell/src/main/java/org/masticspread/cell/lead/Leadership.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/lead/Leadership.java
@@ -166,9 +166,7 @@
       return;
     }
     heardMillis = ports.clock().millis();
-    ports
-        .log()
-        .event("leader-changed", record.vm(), "epoch", record.epoch(), "version", version);
+    ports.log().event("leader-changed", record.vm(), "epoch", record.epoch(), "version", version);
     owner.follow(record);
   }
 
@@ -247,8 +245,15 @@
     suspecting = true;
     ports
         .log()
-        .event("leader-suspected", leader.map(LeaderRecord::vm).orElse(""), "reason", reason,
-            "epoch", epoch(), "misses", misses);
+        .event(
+            "leader-suspected",
+            leader.map(LeaderRecord::vm).orElse(""),
+            "reason",
+            reason,
+            "epoch",
+            epoch(),
+            "misses",
+            misses);
     ports.timers().after(delay, this::askOthers);
   }
 
@@ -298,9 +303,7 @@
       return;
     }
     if (leader.isPresent() && 2 * hearing > answered.size()) {
-      ports
-          .log()
-          .event("leader-kept", leader.get().vm(), "hearing", hearing, "asked", asked);
+      ports.log().event("leader-kept", leader.get().vm(), "hearing", hearing, "asked", asked);
       suspecting = false;
       misses = 0;
       return;
@@ -328,8 +331,8 @@
   }
 
   /**
-   * Claims only if the leader writes nothing for a while: a VM that reaches no other VM may itself be
-   * the one that is cut off.
+   * Claims only if the leader writes nothing for a while: a VM that reaches no other VM may itself
+   * be the one that is cut off.
    */
   private void claimAlone() {
     long epoch = epoch();
@@ -373,8 +376,7 @@
       return;
     }
     claiming = true;
-    LeaderRecord mine =
-        new LeaderRecord(roster.self().vm(), roster.self().life(), epoch() + 1);
+    LeaderRecord mine = new LeaderRecord(roster.self().vm(), roster.self().life(), epoch() + 1);
     ports.log().event("leader-claim", mine.vm(), "epoch", mine.epoch(), "reason", reason);
     TableCommit commit =
         new TableCommit(
@@ -405,8 +407,7 @@
     if (status.epoch() <= epoch() || status.leaderVm().isEmpty()) {
       return;
     }
-    LeaderRecord record =
-        new LeaderRecord(status.leaderVm(), status.leaderLife(), status.epoch());
+    LeaderRecord record = new LeaderRecord(status.leaderVm(), status.leaderLife(), status.epoch());
     ports.log().event("leader-heard", record.vm(), "epoch", record.epoch());
     take(record, leaderVersion);
   }
--- a/masticspread-cell/src/main/java/org/masticspread/cell/lead/TableFollower.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/lead/TableFollower.java
@@ -54,12 +54,7 @@
    * @param listener takes in the rows
    */
   public TableFollower(
-      TablePort store,
-      Timers timers,
-      EventLog log,
-      String table,
-      String part,
-      Listener listener) {
+      TablePort store, Timers timers, EventLog log, String table, String part, Listener listener) {
     this.store = store;
     this.timers = timers;
     this.log = log;
@@ -123,9 +118,7 @@
       return;
     }
     var unused =
-        store
-            .follow(table, version, WAIT)
-            .subscribe(this::changes, error -> failed(error, true));
+        store.follow(table, version, WAIT).subscribe(this::changes, error -> failed(error, true));
   }
 
   private void changes(RowPage page) {
--- a/masticspread-cell/src/main/java/org/masticspread/cell/lead/Vm.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/lead/Vm.java
@@ -99,13 +99,11 @@
     this.leadership = new Leadership(ports, roster, new Owner());
     this.vms = follower(Rows.VM_TABLE, Rows.VM_PART, this::readVms);
     this.leaders = follower(Rows.LEADER_TABLE, Rows.PART, this::readLeader);
-    this.operator =
-        follower(ports.operator().table(), ports.operator().part(), this::readConfig);
+    this.operator = follower(ports.operator().table(), ports.operator().part(), this::readConfig);
   }
 
   private TableFollower follower(String table, String part, TableFollower.Listener listener) {
-    return new TableFollower(
-        ports.store(), ports.timers(), ports.log(), table, part, listener);
+    return new TableFollower(ports.store(), ports.timers(), ports.log(), table, part, listener);
   }
 
   /**
@@ -381,8 +379,7 @@
 
   private void readLeader(List<TableRow> rows, boolean all) {
     if (all || !rows.isEmpty()) {
-      leadership.read(
-          rows.isEmpty() ? Optional.empty() : Optional.of(rows.get(rows.size() - 1)));
+      leadership.read(rows.isEmpty() ? Optional.empty() : Optional.of(rows.get(rows.size() - 1)));
     }
   }
 
@@ -398,8 +395,13 @@
     }
     ports
         .log()
-        .event("config-applied", Long.toString(newer.version()), "before", configVersion(),
-            "queues", newer.queues().size());
+        .event(
+            "config-applied",
+            Long.toString(newer.version()),
+            "before",
+            configVersion(),
+            "queues",
+            newer.queues().size());
     config = Optional.of(newer);
     configListener.accept(newer);
     cell.ifPresent(c -> c.configure(newer));
@@ -441,8 +443,7 @@
       return;
     }
     Journal fresh =
-        new Journal(
-            ports.store(), ports.timers(), ports.clock(), ports.log(), term, new Commits());
+        new Journal(ports.store(), ports.timers(), ports.clock(), ports.log(), term, new Commits());
     Cell next =
         new Cell(
             new CellPorts(
@@ -465,8 +466,15 @@
     next.begin();
     ports
         .log()
-        .event("cell-loaded", roster.self().vm(), "epoch", term.epoch(), "jobs", jobs.size(),
-            "tookMs", ports.clock().millis() - begun);
+        .event(
+            "cell-loaded",
+            roster.self().vm(),
+            "epoch",
+            term.epoch(),
+            "jobs",
+            jobs.size(),
+            "tookMs",
+            ports.clock().millis() - begun);
   }
 
   private void readWorkers(Cell target, List<TableRow> rows, boolean all) {
--- a/masticspread-cell/src/main/java/org/masticspread/cell/lead/VmPorts.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/lead/VmPorts.java
@@ -2,8 +2,8 @@
 
 import com.codahale.metrics.MetricRegistry;
 import java.time.InstantSource;
-import java.util.function.Function;
 import java.util.Optional;
+import java.util.function.Function;
 import org.masticspread.cell.engine.CellLimits;
 import org.masticspread.cell.log.EventLog;
 import org.masticspread.cell.port.AdvisorPort;
@@ -53,6 +53,5 @@
    * @param part the part
    * @param decoder reads a row; empty for one that says nothing usable
    */
-  public record Source<T>(
-      String table, String part, Function<TableRow, Optional<T>> decoder) {}
+  public record Source<T>(String table, String part, Function<TableRow, Optional<T>> decoder) {}
 }
--- a/masticspread-cell/src/main/java/org/masticspread/cell/port/WorkerPort.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/port/WorkerPort.java
@@ -76,8 +76,7 @@
    * @param acknowledged the ends up to this number may be forgotten
    * @param patience how long the worker may wait for an end before it answers
    */
-  record Renewal(
-      OptionalLong leaseUntilMillis, long token, long acknowledged, Duration patience) {}
+  record Renewal(OptionalLong leaseUntilMillis, long token, long acknowledged, Duration patience) {}
 
   /**
    * The outcome of a renewal.
--- a/masticspread-cell/src/test/java/org/masticspread/cell/engine/CellTest.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/engine/CellTest.java
@@ -418,8 +418,7 @@
     @Test
     void should_start_with_a_ticket_that_still_holds() {
       // WHEN
-      JobOrder order =
-          Jobs.job("a", "layouts", Jobs.step(3, 1000, SHORT, false));
+      JobOrder order = Jobs.job("a", "layouts", Jobs.step(3, 1000, SHORT, false));
       fixture.workers.describe("a", new ResourceVector(1000, 1024, 0), SHORT);
       fixture.accept(order);
       pass(3000);
@@ -504,9 +503,7 @@
       fixture.workers.describe("a", new ResourceVector(1000, 1024, 0), SHORT);
       JobOrder order =
           Jobs.job(
-              "a",
-              Jobs.step(2, 1000, SHORT, false),
-              Jobs.step(1, 1000, SHORT, false, List.of(0)));
+              "a", Jobs.step(2, 1000, SHORT, false), Jobs.step(1, 1000, SHORT, false, List.of(0)));
 
       // WHEN
       fixture.accept(order);
--- a/masticspread-cell/src/test/java/org/masticspread/cell/lead/VmTest.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/lead/VmTest.java
@@ -150,8 +150,7 @@
     void should_survive_the_end_of_all_processes() {
       // GIVEN
       List<List<CellReply>> replies = load(20, "vm-1", "vm-3");
-      List<CellReply> last =
-          cluster.call("vm-1", Action.SUBMIT, "last", job("last", 3000));
+      List<CellReply> last = cluster.call("vm-1", Action.SUBMIT, "last", job("last", 3000));
       pass(200);
 
       // WHEN
--- a/masticspread-cell/src/test/java/org/masticspread/cell/policy/PlacementTest.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/policy/PlacementTest.java
@@ -51,9 +51,7 @@
     @Test
     void should_leave_whole_workers_free() {
       // WHEN / THEN
-      assertThat(
-              choose(
-                  false, new TestRoom("empty", "r", 32, 1), new TestRoom("used", "r", 10, 1)))
+      assertThat(choose(false, new TestRoom("empty", "r", 32, 1), new TestRoom("used", "r", 10, 1)))
           .isEqualTo("used");
     }
 
@@ -93,8 +91,7 @@
     @Test
     void should_start_none_when_there_is_no_room_for_all() {
       // WHEN / THEN
-      assertThat(
-              Placement.gang(List.of(new TestRoom("a", "r", 32, 1)), step(4, 9), "s", FAR))
+      assertThat(Placement.gang(List.of(new TestRoom("a", "r", 32, 1)), step(4, 9), "s", FAR))
           .isEmpty();
     }
   }
--- a/masticspread-cell/src/test/java/org/masticspread/cell/testing/CellFixture.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/testing/CellFixture.java
@@ -65,8 +65,7 @@
         new TableCommit(
             Rows.PART,
             List.of(
-                new TableCommit.Expected(
-                    Rows.LEADER, former.map(TableRow::version).orElse(0L))),
+                new TableCommit.Expected(Rows.LEADER, former.map(TableRow::version).orElse(0L))),
             List.of(
                 new Put(Rows.LEADER, Rows.encode(new LeaderRecord("vm", "life" + epoch, epoch))),
                 new Put(Rows.HEAD, Rows.encode(new HeadRecord(epoch, 0)))),
@@ -103,8 +102,7 @@
             time);
     cell =
         new Cell(
-            new CellPorts(
-                term, journal, workers, desk, time, time, time, log, metrics, LIMITS),
+            new CellPorts(term, journal, workers, desk, time, time, time, log, metrics, LIMITS),
             config,
             () -> fenced = true);
     restore();
--- a/masticspread-cell/src/test/java/org/masticspread/cell/testing/FakeTable.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/testing/FakeTable.java
@@ -87,24 +87,19 @@
     return Single.create(
         emitter -> {
           switch (now) {
-            case DONE ->
-                time.after(COMMIT_TIME, () -> emitter.onSuccess(apply(commit)));
+            case DONE -> time.after(COMMIT_TIME, () -> emitter.onSuccess(apply(commit)));
             case ANSWER_LOST -> {
               time.after(COMMIT_TIME, () -> apply(commit));
-              time.after(
-                  COMMIT_TIMEOUT, () -> emitter.onSuccess(CommitResult.of(Kind.UNKNOWN)));
+              time.after(COMMIT_TIMEOUT, () -> emitter.onSuccess(CommitResult.of(Kind.UNKNOWN)));
             }
             case LATE -> {
               time.after(Duration.ofSeconds(3), () -> apply(commit));
-              time.after(
-                  COMMIT_TIMEOUT, () -> emitter.onSuccess(CommitResult.of(Kind.UNKNOWN)));
+              time.after(COMMIT_TIMEOUT, () -> emitter.onSuccess(CommitResult.of(Kind.UNKNOWN)));
             }
             case REFUSED ->
-                time.after(
-                    COMMIT_TIME, () -> emitter.onSuccess(CommitResult.of(Kind.REFUSED)));
+                time.after(COMMIT_TIME, () -> emitter.onSuccess(CommitResult.of(Kind.REFUSED)));
             case SILENT ->
-                time.after(
-                    COMMIT_TIMEOUT, () -> emitter.onSuccess(CommitResult.of(Kind.UNKNOWN)));
+                time.after(COMMIT_TIMEOUT, () -> emitter.onSuccess(CommitResult.of(Kind.UNKNOWN)));
             default -> throw new IllegalStateException("fate: " + now);
           }
         });
--- a/masticspread-cell/src/test/java/org/masticspread/cell/testing/FakeWorkers.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/testing/FakeWorkers.java
@@ -134,8 +134,7 @@
             time.after(TIMEOUT, () -> emitter.onSuccess(OrderResult.of(Outcome.UNKNOWN)));
           } else {
             time.after(
-                LATENCY,
-                () -> emitter.onSuccess(new OrderResult(outcome(state, order), clock())));
+                LATENCY, () -> emitter.onSuccess(new OrderResult(outcome(state, order), clock())));
           }
         });
   }
@@ -272,8 +271,7 @@
             return;
           }
           // The real worker answers at the first end; a short wait is near enough.
-          Duration wait =
-              renewal.patience().isZero() ? LATENCY : Duration.ofMillis(20);
+          Duration wait = renewal.patience().isZero() ? LATENCY : Duration.ofMillis(20);
           time.after(wait, () -> emitter.onSuccess(look(state, renewal)));
         });
   }
@@ -283,16 +281,13 @@
       return new RenewResult(Outcome.FENCED, Optional.empty());
     }
     state.token = renewal.token();
-    renewal
-        .leaseUntilMillis()
-        .ifPresent(end -> state.leaseUntil = Math.max(state.leaseUntil, end));
+    renewal.leaseUntilMillis().ifPresent(end -> state.leaseUntil = Math.max(state.leaseUntil, end));
     state.ended.removeIf(end -> end.number() <= renewal.acknowledged());
     List<Running> running =
         state.running.values().stream()
             .map(run -> new Running(run.task, run.run, "", percent(run), 0))
             .toList();
-    WorkerView view =
-        new WorkerView(time.millis(), state.life, running, List.copyOf(state.ended));
+    WorkerView view = new WorkerView(time.millis(), state.life, running, List.copyOf(state.ended));
     return new RenewResult(Outcome.DONE, Optional.of(view));
   }
 
--- a/masticspread-cell/src/test/java/org/masticspread/cell/testing/VmCluster.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/testing/VmCluster.java
@@ -24,6 +24,7 @@
 import org.masticspread.cell.port.TablePort;
 import org.masticspread.cell.port.WorkerEntry;
 import org.masticspread.model.cell.CellConfig;
+import org.masticspread.model.cell.JobOrder;
 import org.masticspread.model.id.VmId;
 import org.masticspread.model.peer.AdviceReply;
 import org.masticspread.model.peer.CellCall;
@@ -31,7 +32,6 @@
 import org.masticspread.model.peer.CellReply;
 import org.masticspread.model.peer.PeerException;
 import org.masticspread.model.peer.PeerMessage;
-import org.masticspread.model.cell.JobOrder;
 
 /** Several VMs on one store and the same workers, with links that can be cut, in virtual time. */
 public final class VmCluster {
--- a/masticspread-model/src/main/java/org/masticspread/model/cell/CellConfig.java
+++ b/masticspread-model/src/main/java/org/masticspread/model/cell/CellConfig.java
@@ -36,8 +36,7 @@
   public Optional<QueueRule> match(String host, String path) {
     QueueRule best = null;
     for (QueueRule queue : queues) {
-      boolean longer =
-          best == null || queue.pathPrefix().length() > best.pathPrefix().length();
+      boolean longer = best == null || queue.pathPrefix().length() > best.pathPrefix().length();
       if (longer && queue.host().equalsIgnoreCase(host) && path.startsWith(queue.pathPrefix())) {
         best = queue;
       }
--- a/masticspread-model/src/main/java/org/masticspread/model/cell/EndpointRule.java
+++ b/masticspread-model/src/main/java/org/masticspread/model/cell/EndpointRule.java
@@ -10,8 +10,4 @@
  * @param standby whether its VMs are switched off until they are moved to another pool
  */
 public record EndpointRule(
-    String name,
-    String healthPath,
-    int mostConnections,
-    boolean guardsCapacity,
-    boolean standby) {}
+    String name, String healthPath, int mostConnections, boolean guardsCapacity, boolean standby) {}
--- a/masticspread-model/src/main/java/org/masticspread/model/cell/StepSpec.java
+++ b/masticspread-model/src/main/java/org/masticspread/model/cell/StepSpec.java
@@ -53,9 +53,7 @@
    * @return the part of the capacity
    */
   public ResourceVector booked() {
-    return fills
-        ? new ResourceVector(0, demand.memoryBytes(), demand.accelerators())
-        : demand;
+    return fills ? new ResourceVector(0, demand.memoryBytes(), demand.accelerators()) : demand;
   }
 
   /**
--- a/masticspread-model/src/main/java/org/masticspread/model/peer/CellCall.java
+++ b/masticspread-model/src/main/java/org/masticspread/model/peer/CellCall.java
@@ -11,8 +11,7 @@
  * @param job the job's id; empty for a count
  * @param order the job; null unless it is submitted
  */
-public record CellCall(
-    Action action, String queue, long configVersion, String job, JobOrder order)
+public record CellCall(Action action, String queue, long configVersion, String job, JobOrder order)
     implements PeerMessage {
 
   /** What a caller asks for. */
