--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Cell.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Cell.java
@@ -546,7 +546,7 @@
       ports.log().event("worker-regained", worker.id(), "failed", worker.failedRenewals);
     }
     worker.failedRenewals = 0;
-    boolean first = !worker.heard;
+    final boolean first = !worker.heard;
     reports.take(worker, result.view().get(), sent);
     if (!fleetHas(worker)) {
       return;
--- a/masticspread-cell/src/main/java/org/masticspread/cell/journal/Journal.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/journal/Journal.java
@@ -217,19 +217,18 @@
     }
     List<Put> puts = new ArrayList<>();
     List<RowName> removals = new ArrayList<>();
-    long sequence = take(puts, removals);
+    batch = new Batch(take(puts, removals), puts, removals);
     commits++;
     puts.add(new Put(Rows.HEAD, Rows.encode(new HeadRecord(term.epoch(), commits))));
     inFlight = true;
     sentMillis = clock.millis();
-    batch = new Batch(sequence, puts, removals);
     send();
   }
 
   private long take(List<Put> puts, List<RowName> removals) {
-    int bytes = 0;
-    long sequence = durableSequence;
     Iterator<Map.Entry<RowName, Entry>> rows = dirty.entrySet().iterator();
+    long sequence = durableSequence;
+    int bytes = 0;
     while (rows.hasNext() && puts.size() + removals.size() < MOST_ROWS && bytes < MOST_BYTES) {
       Map.Entry<RowName, Entry> row = rows.next();
       sequence = row.getValue().sequence;
--- a/masticspread-cell/src/main/java/org/masticspread/cell/lead/Leadership.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/lead/Leadership.java
@@ -121,7 +121,7 @@
 
   /** Starts to watch the leader. */
   void start() {
-    probe();
+    probeForever();
   }
 
   /** Takes in the row of the leader, or its absence. */
@@ -179,9 +179,9 @@
     owner.lead(new Term(epoch, version));
   }
 
-  private void probe() {
+  private void probeForever() {
     probeNow();
-    ports.timers().after(PROBE_EVERY, this::probe);
+    ports.timers().after(PROBE_EVERY, this::probeForever);
   }
 
   /** Probes the leader beside the regular probes, as when a call to it has failed. */
--- a/masticspread-cell/src/test/java/org/masticspread/cell/engine/CellTest.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/engine/CellTest.java
@@ -236,7 +236,6 @@
       // GIVEN
       fixture.accept(job("a", 8, 2000, LONG, false));
       pass(500);
-      int started = fixture.workers.starts().size();
 
       // WHEN
       List<CellReply> replies = fixture.call(Action.CANCEL, "a", null);
@@ -244,6 +243,7 @@
 
       // THEN
       assertThat(replies).extracting(CellReply::outcome).containsExactly(Outcome.CANCELLED);
+      int started = fixture.workers.starts().size();
       pass(10_000);
       assertThat(fixture.workers.starts()).hasSize(started);
       assertThat(fixture.state("a")).isEqualTo(JobState.CANCELLED);
--- a/masticspread-cell/src/test/java/org/masticspread/cell/testing/FakeWorkers.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/testing/FakeWorkers.java
@@ -34,6 +34,7 @@
   private final List<String> violations = new ArrayList<>();
   private final List<String> succeeded = new ArrayList<>();
 
+  /** Creates a pool without workers. */
   public FakeWorkers(VirtualTime time) {
     this.time = time;
   }
@@ -79,10 +80,12 @@
     return state;
   }
 
+  /** Returns the state of a worker. */
   public State state(String id) {
     return workers.get(id);
   }
 
+  /** Returns the entries of all workers. */
   public List<WorkerEntry> entries() {
     return workers.values().stream().map(state -> state.entry).toList();
   }
@@ -93,14 +96,17 @@
     runMillis.put(job, runs.toMillis());
   }
 
+  /** Returns each start that was carried out: worker, task, run. */
   public List<String> starts() {
     return starts;
   }
 
+  /** Returns the promises that were broken. */
   public List<String> violations() {
     return violations;
   }
 
+  /** Returns the tasks that succeeded, in order. */
   public List<String> succeeded() {
     return succeeded;
   }
--- a/masticspread-cell/src/test/java/org/masticspread/cell/testing/Jobs.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/testing/Jobs.java
@@ -16,10 +16,12 @@
 public final class Jobs {
   private Jobs() {}
 
+  /** Returns a step that waits for no other. */
   public static StepSpec step(int tasks, long millicores, Duration estimate, boolean gang) {
     return step(tasks, millicores, estimate, gang, List.of());
   }
 
+  /** Returns a step. */
   public static StepSpec step(
       int tasks, long millicores, Duration estimate, boolean gang, List<Integer> after) {
     return new StepSpec(
@@ -41,14 +43,17 @@
         0);
   }
 
+  /** Returns a job of the queue {@code checks}. */
   public static JobOrder job(String id, StepSpec... steps) {
     return job(id, "checks", steps);
   }
 
+  /** Returns a job. */
   public static JobOrder job(String id, String queue, StepSpec... steps) {
     return new JobOrder(id, queue, "payload", List.of(steps), Recurrence.ONCE);
   }
 
+  /** Returns a queue with an objective of 4 times the run time and 2 s. */
   public static QueueRule queue(String name, int priority, Optional<AdviceRule> advice) {
     return new QueueRule(
         name,
@@ -63,6 +68,7 @@
         advice);
   }
 
+  /** Returns the first version of a configuration. */
   public static CellConfig config(QueueRule... queues) {
     return new CellConfig(
         1,
--- a/masticspread-cell/src/test/java/org/masticspread/cell/testing/VmCluster.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/testing/VmCluster.java
@@ -49,6 +49,7 @@
 
   private record Member(Vm vm, Gateway gateway, String life) {}
 
+  /** Creates a cluster without VMs. */
   public VmCluster(CellConfig config) {
     this.config = config;
   }
@@ -116,10 +117,12 @@
     members.put(name, new Member(null, null, "dead-" + ++lives));
   }
 
+  /** Cuts a VM off from the store, or ends the cut. */
   public void cutFromStore(String name, boolean cut) {
     change(cutFromStore, name, cut);
   }
 
+  /** Cuts a VM off from all other VMs, or ends the cut. */
   public void cutFromPeers(String name, boolean cut) {
     change(cutFromPeers, name, cut);
   }
@@ -132,6 +135,7 @@
     }
   }
 
+  /** Returns a VM that runs. */
   public Vm vm(String name) {
     return members.get(name).vm;
   }
