--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Cell.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Cell.java
@@ -60,8 +60,8 @@
   /** How often expired leases, standing tasks and due occurrences are looked for. */
   private static final Duration TICK = Duration.ofMillis(100);
 
-  /** Collects the events of a moment in one pass. */
-  private static final Duration PASS_DELAY = Duration.ofMillis(1);
+  /** Collects the events of a moment in one pass, which looks at all workers. */
+  private static final Duration PASS_DELAY = Duration.ofMillis(4);
 
   /** A task whose percentage has not changed for so long stands still. */
   private static final Duration STANDING = Duration.ofMillis(2500);
--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Fleet.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Fleet.java
@@ -49,8 +49,7 @@
     if (known.entry.draining() != entry.draining()) {
       log.event("worker-draining", entry.id(), "draining", entry.draining());
     }
-    known.entry = entry;
-    known.missingSinceMillis = -1;
+    known.update(entry);
     return Optional.empty();
   }
 
@@ -98,20 +97,31 @@
     return workers.values().stream().anyMatch(w -> !w.heard && now < w.unheardUntilMillis);
   }
 
-  /** Returns the speed-weighted capacity of the usable workers of an endpoint. */
+  /** Returns the speed-weighted capacity of the workers of an endpoint that can be counted on. */
   long capacityMillicores(String endpoint) {
     double sum = 0;
-    for (Worker worker : usable(endpoint)) {
-      sum += worker.capacity().millicores() * worker.speed();
+    for (Worker worker : workers.values()) {
+      if (worker.entry.endpoint().equals(endpoint) && countedOn(worker)) {
+        sum += worker.capacity().millicores() * worker.speed();
+      }
     }
     return (long) sum;
   }
 
-  /** Returns the speed-weighted free capacity of the usable workers of an endpoint. */
+  /** A new leader has heard no worker yet, and does not take this for a lack of room. */
+  private boolean countedOn(Worker worker) {
+    boolean expected =
+        !worker.heard && !worker.gone() && clock.millis() < worker.unheardUntilMillis;
+    return expected || usable(worker);
+  }
+
+  /** Returns the speed-weighted free capacity of the workers that can be counted on. */
   long freeMillicores(String endpoint) {
     double sum = 0;
-    for (Worker worker : usable(endpoint)) {
-      sum += worker.free().millicores() * worker.speed();
+    for (Worker worker : workers.values()) {
+      if (worker.entry.endpoint().equals(endpoint) && countedOn(worker)) {
+        sum += worker.free().millicores() * worker.speed();
+      }
     }
     return (long) sum;
   }
--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Scheduler.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Scheduler.java
@@ -26,6 +26,9 @@
   /** A ticket must still hold when the start arrives. */
   private static final Duration TICKET_MARGIN = Duration.ofMillis(60);
 
+  /** Expected run times change slowly. */
+  private static final Duration LATEST_START_KEPT = Duration.ofSeconds(1);
+
   /** After advice that approved nothing new, it is asked for again so much later. */
   private static final Duration ADVICE_PAUSE = Duration.ofMillis(150);
 
@@ -133,6 +136,16 @@
   }
 
   private Candidate candidate(Step step, QueueRule queue) {
+    long now = now();
+    boolean known = step.latestStartAtMillis >= 0;
+    if (!known || now - step.latestStartAtMillis > LATEST_START_KEPT.toMillis()) {
+      step.latestStartMillis = latestStart(step, queue);
+      step.latestStartAtMillis = now;
+    }
+    return new Candidate(queue.priority(), step.latestStartMillis, step.name);
+  }
+
+  private long latestStart(Step step, QueueRule queue) {
     long path = step.job.pathMillis(spec -> expectedMillis(queue, spec));
     long objective = (long) (queue.stretch() * path) + queue.target().toMillis();
     long begin = step.job.acceptedMillis;
@@ -141,8 +154,7 @@
           Duration.between(step.job.order.recurrence().due(step.occurrence), cell.timeOfDay());
       begin = now() - ago.toMillis();
     }
-    long left = expectedMillis(queue, step.spec);
-    return new Candidate(queue.priority(), begin + objective - left, step.name);
+    return begin + objective - expectedMillis(queue, step.spec);
   }
 
   private long expectedMillis(QueueRule queue, StepSpec spec) {
--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Step.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Step.java
@@ -29,6 +29,11 @@
   boolean adviceInFlight;
   long adviceNotBeforeMillis;
 
+  /** The latest start that meets the objective, and when it was worked out; negative before. */
+  long latestStartMillis;
+
+  long latestStartAtMillis = -1;
+
   /** Since when only some members of the gang have a run; negative if all or none have. */
   long partialSinceMillis = -1;
 
--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Worker.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Worker.java
@@ -19,6 +19,9 @@
   private final Map<String, Integer> perStep = new HashMap<>();
   private ResourceVector booked = ResourceVector.ZERO;
 
+  /** What is free, kept since each placement asks many times; null when it must be counted. */
+  private ResourceVector free;
+
   /** The life that answered last; 0 before the first answer. */
   long life;
 
@@ -59,6 +62,7 @@
   void book(Run run) {
     runs.put(key(run.taskName, run.number), run);
     booked = booked.plus(run.booked);
+    free = null;
     if (run.task != null) {
       perStep.merge(run.task.step.name, 1, Integer::sum);
     }
@@ -69,6 +73,7 @@
       return;
     }
     booked = booked.minus(run.booked);
+    free = null;
     if (run.task != null) {
       perStep.computeIfPresent(run.task.step.name, (step, count) -> count == 1 ? null : count - 1);
     }
@@ -110,11 +115,22 @@
 
   @Override
   public ResourceVector free() {
-    ResourceVector capacity = entry.capacity();
-    return new ResourceVector(
-        Math.max(0, capacity.millicores() - booked.millicores()),
-        Math.max(0, capacity.memoryBytes() - booked.memoryBytes()),
-        Math.max(0, capacity.accelerators() - booked.accelerators()));
+    if (free == null) {
+      ResourceVector capacity = entry.capacity();
+      free =
+          new ResourceVector(
+              Math.max(0, capacity.millicores() - booked.millicores()),
+              Math.max(0, capacity.memoryBytes() - booked.memoryBytes()),
+              Math.max(0, capacity.accelerators() - booked.accelerators()));
+    }
+    return free;
+  }
+
+  /** Takes in a newer entry of the registry. */
+  void update(WorkerEntry newer) {
+    entry = newer;
+    missingSinceMillis = -1;
+    free = null;
   }
 
   @Override
--- a/masticspread-cell/src/main/java/org/masticspread/cell/journal/Journal.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/journal/Journal.java
@@ -38,6 +38,9 @@
   /** Collects rows of several events in one commit; callers see it as latency. */
   private static final Duration LINGER = Duration.ofMillis(6);
 
+  /** Shorter than a VM watches the store before it claims a cell whose leader it cannot ask. */
+  private static final Duration HEARTBEAT = Duration.ofMillis(1000);
+
   /** Between two attempts while the store refuses. */
   private static final Duration REFUSED_PAUSE = Duration.ofMillis(80);
 
@@ -77,6 +80,7 @@
   private boolean inFlight;
   private boolean sending;
   private long sentMillis;
+  private long doneMillis;
   private boolean scheduled;
   private boolean closed;
   private long failingSinceMillis = -1;
@@ -105,6 +109,7 @@
     this.term = term;
     this.listener = listener;
     this.headVersion = term.version();
+    this.doneMillis = clock.millis();
   }
 
   /**
@@ -211,10 +216,24 @@
         });
   }
 
+  /**
+   * Commits nothing but the count of commits, if nothing was committed lately, so that a VM that
+   * reaches no other one sees in the store that the cell is led.
+   */
+  public void heartbeat() {
+    boolean quiet = clock.millis() - doneMillis >= HEARTBEAT.toMillis();
+    if (!closed && !inFlight && dirty.isEmpty() && quiet) {
+      commit();
+    }
+  }
+
   private void flush() {
-    if (closed || inFlight || dirty.isEmpty()) {
-      return;
+    if (!closed && !inFlight && !dirty.isEmpty()) {
+      commit();
     }
+  }
+
+  private void commit() {
     List<Put> puts = new ArrayList<>();
     List<RowName> removals = new ArrayList<>();
     batch = new Batch(take(puts, removals), puts, removals);
@@ -272,6 +291,7 @@
     durableSequence = batch.sequence;
     inFlight = false;
     batch = null;
+    doneMillis = clock.millis();
     if (failingSinceMillis >= 0) {
       log.event("store-regained", "journal", "afterMs", clock.millis() - failingSinceMillis);
       failingSinceMillis = -1;
--- a/masticspread-cell/src/main/java/org/masticspread/cell/lead/Leadership.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/lead/Leadership.java
@@ -31,6 +31,12 @@
   /** Between two probes of the leader: a killed leader is noticed after two. */
   private static final Duration PROBE_EVERY = Duration.ofMillis(250);
 
+  /** A VM that is not among the first to take over probes more seldom. */
+  private static final Duration SELDOM_PROBE = Duration.ofMillis(1000);
+
+  /** So many VMs watch the leader closely; their number does not grow with the fleet. */
+  private static final int CLOSE_WATCHERS = 8;
+
   /** Failed calls do not set off probes more often than this. */
   private static final Duration SHORTEST_PROBE = Duration.ofMillis(60);
 
@@ -108,7 +114,8 @@
   }
 
   boolean hearsLeader() {
-    return leading() || ports.clock().millis() - heardMillis < 2 * PROBE_TIMEOUT.toMillis();
+    Duration recent = probeEvery().plus(PROBE_TIMEOUT).plus(PROBE_EVERY);
+    return leading() || ports.clock().millis() - heardMillis < recent.toMillis();
   }
 
   void stopping() {
@@ -181,7 +188,12 @@
 
   private void probeForever() {
     probeNow();
-    ports.timers().after(PROBE_EVERY, this::probeForever);
+    ports.timers().after(probeEvery(), this::probeForever);
+  }
+
+  private Duration probeEvery() {
+    boolean close = misses > 0 || roster.rank(roster.others()) < CLOSE_WATCHERS;
+    return close ? PROBE_EVERY : SELDOM_PROBE;
   }
 
   /** Probes the leader beside the regular probes, as when a call to it has failed. */
--- a/masticspread-cell/src/main/java/org/masticspread/cell/lead/Roster.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/lead/Roster.java
@@ -13,8 +13,8 @@
 
 /** The VMs of the cell, and when each was last heard from. Confined to the VM's thread. */
 final class Roster {
-  /** A VM that probes the leader is heard several times in this. */
-  private static final Duration HEARD = Duration.ofMillis(900);
+  /** A VM probes the leader at least twice in this. */
+  private static final Duration HEARD = Duration.ofMillis(2200);
 
   /** The strongest VM leads, since the leader does most work; the name decides between equals. */
   private static final Comparator<VmRecord> STRONGEST =
--- a/masticspread-cell/src/main/java/org/masticspread/cell/lead/Vm.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/lead/Vm.java
@@ -119,7 +119,6 @@
     vms.start();
     leaders.start();
     leadership.start();
-    watchCommits();
   }
 
   /** Returns for how long commits have failed, in ms. */
@@ -132,9 +131,13 @@
     return leadership.epoch();
   }
 
-  private void watchCommits() {
+  private void watchCommits(Journal watched) {
+    if (!journal.equals(Optional.of(watched))) {
+      return;
+    }
+    watched.heartbeat();
     storeDoubtful();
-    ports.timers().after(WATCH_EVERY, this::watchCommits);
+    ports.timers().after(WATCH_EVERY, () -> watchCommits(watched));
   }
 
   private void register() {
@@ -461,6 +464,7 @@
             leadership::fenced);
     jobs.forEach(job -> next.restore(job.record(), job.progress()));
     journal = Optional.of(fresh);
+    watchCommits(fresh);
     workers.forEach(read -> readWorkers(next, read.rows(), read.all()));
     cell = Optional.of(next);
     next.begin();
