--- a/masticspread-ctl/src/test/java/org/masticspread/ctl/ModuleDirectionTest.java
+++ b/masticspread-ctl/src/test/java/org/masticspread/ctl/ModuleDirectionTest.java
@@ -27,6 +27,10 @@
           .definedBy("org.masticspread.platform..")
           .layer("node")
           .definedBy("org.masticspread.node..")
+          .layer("cell")
+          .definedBy("org.masticspread.cell..")
+          .layer("adapter")
+          .definedBy("org.masticspread.adapter..")
           .layer("ctl")
           .definedBy("org.masticspread.ctl..")
           .withOptionalLayers(true)
@@ -42,6 +46,10 @@
           .mayOnlyAccessLayers("model", "codec")
           .whereLayer("platform")
           .mayOnlyAccessLayers("model", "codec")
+          .whereLayer("cell")
+          .mayOnlyAccessLayers("model", "codec")
+          .whereLayer("adapter")
+          .mayNotBeAccessedByAnyLayer()
           .whereLayer("ctl")
           .mayNotBeAccessedByAnyLayer();
 }
