--- /dev/null
+++ b/masticspread-soak/src/main/java/org/masticspread/soak/VmProgram.java
@@ -0,0 +1,73 @@
+package org.masticspread.soak;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/** One VM as a process of its own, started, signalled and ended by its id only. */
+final class VmProgram {
+  private final String name;
+  private final Path settings;
+  private final Path log;
+  private final List<String> command;
+  private final String front;
+  private Process process;
+
+  VmProgram(String name, ObjectNode settings, Path folder) throws IOException {
+    this.name = name;
+    this.settings = folder.resolve(name + ".yaml");
+    this.log = folder.resolve(name + ".log");
+    this.front = settings.path("listen").path("front").asText();
+    // JSON is YAML too.
+    Files.writeString(this.settings, settings.toString());
+    String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
+    command =
+        List.of(
+            java,
+            "-Xmx64m",
+            "-XX:+UseSerialGC",
+            "-XX:TieredStopAtLevel=1",
+            "-cp",
+            classPath(),
+            "org.masticspread.adapter.Main",
+            "vm");
+  }
+
+  /** The class path of this process; test runners hide it behind a jar of their own. */
+  private static String classPath() {
+    return System.getProperty("surefire.test.class.path", System.getProperty("java.class.path"));
+  }
+
+  String name() {
+    return name;
+  }
+
+  String front() {
+    return front;
+  }
+
+  void start() throws IOException {
+    if (process != null && process.isAlive()) {
+      return;
+    }
+    ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
+    builder.environment().put("MASTICSPREAD_BOOT", settings.toString());
+    process = builder.redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile())).start();
+  }
+
+  void signal(String signal) throws IOException, InterruptedException {
+    if (process != null && process.isAlive()) {
+      new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor();
+    }
+  }
+
+  void end() throws InterruptedException {
+    if (process != null) {
+      process.destroyForcibly();
+      process.waitFor(5, TimeUnit.SECONDS);
+    }
+  }
+}
