--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Cell.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Cell.java
@@ -5,7 +5,6 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Consumer;
 import org.masticspread.cell.journal.JobRecord;
@@ -13,9 +12,6 @@
 import org.masticspread.cell.policy.Admission;
 import org.masticspread.cell.policy.Placement;
 import org.masticspread.cell.port.WorkerEntry;
-import org.masticspread.cell.port.WorkerPort.Outcome;
-import org.masticspread.cell.port.WorkerPort.RenewResult;
-import org.masticspread.cell.port.WorkerPort.Renewal;
 import org.masticspread.model.cell.CellConfig;
 import org.masticspread.model.cell.JobOrder;
 import org.masticspread.model.cell.JobState;
@@ -51,24 +47,12 @@
    */
   private static final Duration LEASE = Duration.ofMillis(3500);
 
-  /** A worker answers a renewal after this, if no task ends before: three renewals in a lease. */
-  private static final Duration RENEWAL_WAIT = Duration.ofMillis(1000);
-
-  /** Between renewals that do not wait: failed ones, or with ends that are not durable yet. */
-  private static final Duration RENEWAL_PAUSE = Duration.ofMillis(250);
-
   /** How often expired leases, standing tasks and due occurrences are looked for. */
   private static final Duration TICK = Duration.ofMillis(100);
 
   /** Collects the events of a moment in one pass, which looks at all workers. */
   private static final Duration PASS_DELAY = Duration.ofMillis(4);
 
-  /** A task whose percentage has not changed for so long stands still. */
-  private static final Duration STANDING = Duration.ofMillis(2500);
-
-  /** A worker that left the registry and does not answer is dropped after this. */
-  private static final Duration DROP_AFTER = Duration.ofSeconds(10);
-
   /** A commit without an answer for so long: a job handed in now could not be stored in time. */
   private static final Duration STORE_AWAY = Duration.ofMillis(700);
 
@@ -91,8 +75,8 @@
   private final Fleet fleet;
   private final JobBook jobs;
   private final Launcher launcher;
-  private final Reports reports;
   private final Scheduler scheduler;
+  private final Renewals renewals;
   private CellConfig config;
   private boolean closed;
   private boolean paused;
@@ -116,8 +100,9 @@
     this.fleet = new Fleet(ports.clock(), ports.log());
     this.jobs = new JobBook(ports);
     this.launcher = new Launcher(ports, fleet, this);
-    this.reports = new Reports(ports, jobs, fleet, this, launcher);
+    Reports reports = new Reports(ports, jobs, fleet, this, launcher);
     this.scheduler = new Scheduler(ports, jobs, fleet, this, launcher);
+    this.renewals = new Renewals(ports, fleet, this, launcher, reports);
   }
 
   /**
@@ -497,96 +482,7 @@
 
   /** Renews the lease of a worker, unless a call is on its way. */
   void renew(Worker worker) {
-    if (closed || worker.renewing) {
-      return;
-    }
-    worker.renewing = true;
-    boolean wait =
-        !worker.renewSoon
-            && worker.heard
-            && worker.failedRenewals == 0
-            && worker.seenEnd == worker.acknowledgedEnd;
-    worker.renewSoon = false;
-    OptionalLong leaseEnd = OptionalLong.empty();
-    if (worker.heard && worker.failedRenewals == 0) {
-      // A worker that does not answer is only looked at: each lease that may have reached it would
-      // put off the time at which its tasks have certainly lapsed.
-      long end = worker.leaseEnd(now(), leaseMillis());
-      worker.leaseUntilMillis = Math.max(worker.leaseUntilMillis, end);
-      leaseEnd = OptionalLong.of(end);
-    }
-    long sent = now();
-    Renewal renewal =
-        new Renewal(
-            leaseEnd,
-            ports.term().epoch(),
-            worker.acknowledgedEnd,
-            wait ? RENEWAL_WAIT : Duration.ZERO);
-    var unused =
-        ports
-            .workers()
-            .renew(worker.entry, renewal)
-            .subscribe(result -> renewed(worker, result, sent));
-  }
-
-  private void renewed(Worker worker, RenewResult result, long sent) {
-    worker.renewing = false;
-    if (closed) {
-      return;
-    }
-    if (result.outcome() == Outcome.FENCED) {
-      fenced(worker);
-      return;
-    }
-    if (result.view().isEmpty()) {
-      renewalFailed(worker, result.outcome());
-      return;
-    }
-    if (worker.failedRenewals > 0) {
-      ports.log().event("worker-regained", worker.id(), "failed", worker.failedRenewals);
-    }
-    worker.failedRenewals = 0;
-    final boolean first = !worker.heard;
-    reports.take(worker, result.view().get(), sent);
-    if (!fleetHas(worker)) {
-      return;
-    }
-    requestPass();
-    if (worker.renewSoon || first || worker.seenEnd == worker.acknowledgedEnd) {
-      renew(worker);
-    } else {
-      // Until the ends are durable, the worker would answer at once again and again.
-      ports.timers().after(RENEWAL_PAUSE, () -> renew(worker));
-    }
-  }
-
-  private boolean fleetHas(Worker worker) {
-    return fleet.find(worker.id()).filter(known -> known == worker).isPresent();
-  }
-
-  private void renewalFailed(Worker worker, Outcome outcome) {
-    if (worker.failedRenewals == 0) {
-      ports
-          .log()
-          .event(
-              "worker-lost",
-              worker.id(),
-              "outcome",
-              outcome,
-              "runs",
-              worker.runs.size(),
-              "heardMsAgo",
-              now() - worker.heardMillis);
-    }
-    worker.failedRenewals++;
-    if (worker.gone()
-        && now() - worker.missingSinceMillis > DROP_AFTER.toMillis()
-        && worker.runs.isEmpty()) {
-      ports.log().event("worker-dropped", worker.id());
-      fleet.remove(worker);
-      return;
-    }
-    ports.timers().after(RENEWAL_PAUSE, () -> renew(worker));
+    renewals.renew(worker);
   }
 
   private void tick() {
@@ -595,8 +491,8 @@
     }
     ticks++;
     for (Worker worker : List.copyOf(fleet.all())) {
-      lapse(worker);
-      findStanding(worker);
+      renewals.lapse(worker);
+      renewals.findStanding(worker);
     }
     withdrawUnstored();
     jobs.openOccurrences();
@@ -607,55 +503,6 @@
     ports.timers().after(TICK, this::tick);
   }
 
-  private void lapse(Worker worker) {
-    if (worker.runs.isEmpty() || now() <= worker.lapsesAtMillis()) {
-      return;
-    }
-    ports
-        .log()
-        .event(
-            "worker-lapsed",
-            worker.id(),
-            "runs",
-            worker.runs.size(),
-            "heardMsAgo",
-            now() - worker.heardMillis);
-    for (Run run : List.copyOf(worker.runs.values())) {
-      over(run, "lapsed");
-    }
-  }
-
-  /** Moves tasks away from a worker on which they stand still. */
-  private void findStanding(Worker worker) {
-    for (Run run : List.copyOf(worker.runs.values())) {
-      boolean stands =
-          run.phase == Run.Phase.RUNNING
-              && !run.stopWanted
-              && run.task != null
-              && !run.task.step.spec.lasting()
-              && run.percent < 100
-              && worker.heardMillis - run.progressAtMillis > STANDING.toMillis()
-              && (!run.task.step.spec.gang() || run.percent > 0);
-      if (stands) {
-        fleet.troubles.putAside(worker.id(), now());
-        ports
-            .log()
-            .event(
-                "task-stands",
-                run.taskName,
-                "run",
-                run.number,
-                "worker",
-                worker.id(),
-                "percent",
-                run.percent,
-                "sinceMs",
-                now() - run.progressAtMillis);
-        launcher.stop(run, "stands still");
-      }
-    }
-  }
-
   /** Plans again soon. */
   void requestPass() {
     if (closed || passScheduled) {
--- a/masticspread-cell/src/main/java/org/masticspread/cell/lead/Vm.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/lead/Vm.java
@@ -3,7 +3,6 @@
 import io.reactivex.rxjava3.core.Single;
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -69,12 +68,10 @@
   /** Between two looks whether all is read that a cell begins with. */
   private static final Duration LOAD_PAUSE = Duration.ofMillis(10);
 
-  /** A VM this much younger has just been restarted, and will not be again soon. */
-  private static final Duration YOUNGER = Duration.ofSeconds(2);
-
   private final VmPorts ports;
   private final Roster roster;
   private final Leadership leadership;
+  private final Handover handover;
   private final long startedMillis;
   private final TableFollower vms;
   private final TableFollower leaders;
@@ -97,6 +94,7 @@
     this.roster = new Roster(self, ports.clock());
     this.startedMillis = ports.clock().millis();
     this.leadership = new Leadership(ports, roster, new Owner());
+    this.handover = new Handover(ports, roster, leadership, this::configVersion);
     this.vms = follower(Rows.VM_TABLE, Rows.VM_PART, this::readVms);
     this.leaders = follower(Rows.LEADER_TABLE, Rows.PART, this::readLeader);
     this.operator = follower(ports.operator().table(), ports.operator().part(), this::readConfig);
@@ -245,7 +243,7 @@
       ports.timers().after(Duration.ofMillis(5), () -> awaitIdleJournal(done, untilMillis));
       return;
     }
-    invite("stopping", false, () -> {});
+    handover.invite("stopping", false);
     awaitFollower(done, ports.clock().millis() + HANDOVER.toMillis());
   }
 
@@ -533,68 +531,6 @@
                                             : AdviceReply.NONE))));
   }
 
-  /** Looks for a VM that takes over; prefers strong ones, and just restarted ones on a stop. */
-  private void invite(String reason, boolean mustReachStore, Runnable none) {
-    List<VmRecord> others = roster.others();
-    List<Candidate> candidates = new ArrayList<>();
-    int[] open = {others.size()};
-    if (others.isEmpty()) {
-      none.run();
-      return;
-    }
-    VmProbe probe = new VmProbe(mustReachStore, leadership.epoch(), configVersion());
-    for (VmRecord other : others) {
-      ports
-          .peers()
-          .call(VmId.of(other.vm()), probe, STORE_CHECK.multipliedBy(2))
-          .whenComplete(
-              (answer, error) ->
-                  ports
-                      .timers()
-                      .after(
-                          Duration.ZERO,
-                          () -> {
-                            if (answer instanceof VmStatus status) {
-                              leadership.hear(status);
-                            }
-                            if (answer instanceof VmStatus status
-                                && !status.stopping()
-                                && (status.storeReached() || !mustReachStore)) {
-                              candidates.add(new Candidate(other, status.upMillis()));
-                            }
-                            if (--open[0] == 0) {
-                              inviteBest(candidates, reason, none);
-                            }
-                          }));
-    }
-  }
-
-  private void inviteBest(List<Candidate> candidates, String reason, Runnable none) {
-    long up = ports.clock().millis() - startedMillis;
-    Comparator<Candidate> order =
-        Comparator.comparing((Candidate c) -> c.upMillis > up - YOUNGER.toMillis())
-            .thenComparing(c -> -c.vm.strength())
-            .thenComparing(c -> c.vm.vm());
-    Optional<Candidate> best = candidates.stream().min(order);
-    if (best.isEmpty() || !leadership.leading()) {
-      none.run();
-      return;
-    }
-    String vm = best.get().vm.vm();
-    ports.log().event("leader-invited", vm, "reason", reason, "epoch", leadership.epoch());
-    ports
-        .peers()
-        .call(VmId.of(vm), new LeadCell(leadership.epoch(), reason), HANDOVER)
-        .whenComplete(
-            (answer, error) -> {
-              if (error != null) {
-                ports.log().event("leader-invitation-failed", vm, "reason", error.getMessage());
-              }
-            });
-  }
-
-  private record Candidate(VmRecord vm, long upMillis) {}
-
   /** Searches for a VM that reaches the store when this one, the leader, does not. */
   private void storeDoubtful() {
     long now = ports.clock().millis();
@@ -609,7 +545,7 @@
       return;
     }
     searchedMillis = now;
-    invite("store not reached", true, () -> {});
+    handover.invite("store not reached", true);
   }
 
   private final class Owner implements Leadership.Owner {
