--- a/masticspread-ctl/src/test/java/org/masticspread/ctl/logs/StoryTest.java
+++ b/masticspread-ctl/src/test/java/org/masticspread/ctl/logs/StoryTest.java
@@ -27,7 +27,7 @@
     @Test
     void should_tell_why_a_job_was_refused() throws Exception {
       // WHEN
-      Story story = Story.of("1a04117e7b14abcb", lines("refused.jsonl"));
+      Story story = Story.of("d38bad4274970a5a", lines("refused.jsonl"));
 
       // THEN
       assertThat(story.cause()).startsWith("refused: ");
