Wire: two tests that failed once are traced to their fixture

Cause 1 (PeerCallsTest.should_end_calls_in_flight_when_the_server_closes): the proxy of the tests accepted a connection, could not reach the closed server and kept the accepted socket open, so the client's handshake hung for its limit of 20 s, and the server closed its own calls meanwhile. The proxy closes it now. Cause 2 (PeerFaultTest.should_find_a_silent_connection_and_replace_it): the test took the frame of its own call for the first heartbeat when that frame was counted late; two beats then fell together and count once by design, so the third never came. The test waits for the frame first; beats and bounds are as before. Ruled out: a lost wake-up in Target (enqueue, ready and failed hold one lock). Conclusion: the program was right, both tests count again.

--- a/masticspread-wire/src/test/java/org/masticspread/wire/FrameProxy.java
+++ b/masticspread-wire/src/test/java/org/masticspread/wire/FrameProxy.java
@@ -67,8 +67,9 @@
     while (!listener.isClosed()) {
       try {
         Socket client = listener.accept();
-        Socket server = new Socket(target.getAddress(), target.getPort());
-        sockets.addAll(List.of(client, server));
+        sockets.add(client);
+        Socket server = connect(client);
+        sockets.add(server);
         int number = connections.getAndIncrement();
         start(() -> pump(client, server, true, number));
         start(() -> pump(server, client, false, number));
@@ -78,6 +79,16 @@
     }
   }
 
+  /** Connects to the target; a client that cannot be served is told so by a closed connection. */
+  private Socket connect(Socket client) throws IOException {
+    try {
+      return new Socket(target.getAddress(), target.getPort());
+    } catch (IOException e) {
+      client.close();
+      throw e;
+    }
+  }
+
   private void pump(Socket from, Socket to, boolean toServer, int number) {
     try (from;
         to) {
--- a/masticspread-wire/src/test/java/org/masticspread/wire/PeerCallsTest.java
+++ b/masticspread-wire/src/test/java/org/masticspread/wire/PeerCallsTest.java
@@ -22,7 +22,6 @@
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.masticspread.model.peer.FetchConfig;
 import org.masticspread.model.peer.GangReserved;
@@ -220,7 +219,6 @@
     assertThat(thread.get()).doesNotStartWith("wire-loop");
   }
 
-  @Tag("known-red")
   @Test
   void should_end_calls_in_flight_when_the_server_closes() throws Exception {
     // GIVEN
--- a/masticspread-wire/src/test/java/org/masticspread/wire/PeerFaultTest.java
+++ b/masticspread-wire/src/test/java/org/masticspread/wire/PeerFaultTest.java
@@ -21,7 +21,6 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -179,7 +178,6 @@
     assertThat(wire.count(wire.clientMetrics, "wire.dropped.answers")).isEqualTo(1);
   }
 
-  @Tag("known-red")
   @Test
   void should_find_a_silent_connection_and_replace_it() throws Exception {
     // GIVEN
@@ -189,8 +187,11 @@
             WireFixture.SETTINGS, WireFixture.KEY, time, (from, message) -> echo(message));
     answer(wire.call(new FetchConfig(1)));
     wire.proxy.filter((direction, frame) -> List.of());
+    final long before = wire.count(wire.clientMetrics, "wire.frames.out");
     CompletionStage<PeerMessage> lost =
         wire.client.call(WireFixture.B, new FetchConfig(2), Duration.ofDays(1));
+    // Otherwise the frame of the call may be taken for the first heartbeat.
+    until(() -> wire.count(wire.clientMetrics, "wire.frames.out") > before);
 
     // WHEN
     long beat = WireFixture.SETTINGS.heartbeat().toNanos();
