Jobs that have ended are kept apart, in one small row each

Now the commit that ends a job writes how it ended and drops its order and its progress; a new leader begins when it has read the open jobs, and keeps calls about jobs that it does not know until the ended ones are read.

--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Cell.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Cell.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
@@ -89,6 +90,11 @@
   private boolean passScheduled;
   private long ticks;
 
+  /** Calls about jobs that may have ended under an earlier leader. */
+  private final List<Runnable> untilEndedKnown = new ArrayList<>();
+
+  private boolean endedKnown;
+
   /** The calls that wait for something to become durable. */
   private final Set<Consumer<CellReply>> waiting = new LinkedHashSet<>();
 
@@ -122,6 +128,24 @@
     jobs.restore(record, progress);
   }
 
+  /**
+   * Takes over a job that ended under an earlier leader.
+   *
+   * @param id the job
+   * @param state how it ended
+   */
+  public void restoreEnded(String id, JobState state) {
+    jobs.restoreEnded(id, state);
+  }
+
+  /** Tells that all jobs that ended under earlier leaders are known; unknown ones are new. */
+  public void endedKnown() {
+    endedKnown = true;
+    List<Runnable> calls = List.copyOf(untilEndedKnown);
+    untilEndedKnown.clear();
+    calls.forEach(Runnable::run);
+  }
+
   /** Starts to work. */
   public void begin() {
     tick();
@@ -279,6 +303,11 @@
       ports.timers().after(CONFIG_WAIT, () -> answer(call, reply, waits + 1));
       return;
     }
+    boolean aboutJob = call.action() != CellCall.Action.COUNT;
+    if (aboutJob && !endedKnown && jobs.find(call.job()).isEmpty()) {
+      untilEndedKnown.add(() -> answer(call, reply, waits));
+      return;
+    }
     switch (call.action()) {
       case SUBMIT -> submit(call.order(), reply);
       case SHOW -> show(call.job(), reply);
@@ -291,6 +320,10 @@
   }
 
   private void submit(JobOrder order, Consumer<CellReply> reply) {
+    if (jobs.ended(order.id()).isPresent()) {
+      reply.accept(CellReply.of(CellReply.Outcome.ACCEPTED, "it has ended"));
+      return;
+    }
     Optional<Job> known = jobs.find(order.id());
     if (known.isEmpty()) {
       Optional<QueueRule> queue = config.queue(order.queue());
@@ -409,6 +442,11 @@
   }
 
   private void show(String id, Consumer<CellReply> reply) {
+    Optional<JobState> ended = jobs.ended(id);
+    if (ended.isPresent()) {
+      reply.accept(new CellReply(CellReply.Outcome.SHOWN, ended.get(), 0, 0, ""));
+      return;
+    }
     Optional<Job> job = jobs.find(id);
     if (job.isEmpty()) {
       reply.accept(CellReply.of(CellReply.Outcome.UNKNOWN_JOB, ""));
@@ -422,6 +460,10 @@
   }
 
   private void cancel(String id, Consumer<CellReply> reply) {
+    if (jobs.ended(id).isPresent()) {
+      reply.accept(CellReply.of(CellReply.Outcome.CANCELLED, "it has ended"));
+      return;
+    }
     Optional<Job> job = jobs.find(id);
     if (job.isEmpty()) {
       reply.accept(CellReply.of(CellReply.Outcome.UNKNOWN_JOB, ""));
--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Gangs.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Gangs.java
@@ -124,7 +124,7 @@
       return false;
     }
     List<Worker> workers = plan.workers().stream().map(Worker.class::cast).toList();
-    if (!workers.equals(step.planned)) {
+    if (step.planned.isEmpty()) {
       ports
           .log()
           .event(
--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Job.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Job.java
@@ -39,7 +39,6 @@
   /** Who waits to hear that the job is stored. */
   final List<Consumer<CellReply>> callers = new ArrayList<>();
 
-  long endedMillis = -1;
   private final BitSet closed = new BitSet();
   private int opened;
 
--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/JobBook.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/JobBook.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.masticspread.cell.journal.EndedRecord;
 import org.masticspread.cell.journal.JobRecord;
 import org.masticspread.cell.journal.ProgressRecord;
 import org.masticspread.cell.journal.Rows;
@@ -21,11 +22,18 @@
   private static final Duration OPEN_AHEAD = Duration.ofSeconds(1);
 
   private final CellPorts ports;
+
+  /** The jobs that have not ended, or whose end is not durable yet. */
   private final Map<String, Job> jobs = new LinkedHashMap<>();
 
   /** The jobs that have not ended, in the order of their acceptance. */
   private final Map<String, Job> open = new LinkedHashMap<>();
 
+  /** The jobs whose end is durable. */
+  private final Map<String, Ended> ended = new LinkedHashMap<>();
+
+  private record Ended(JobState state, long sinceMillis) {}
+
   JobBook(CellPorts ports) {
     this.ports = ports;
   }
@@ -34,6 +42,16 @@
     return Optional.ofNullable(jobs.get(id));
   }
 
+  /** Returns how a job ended, once that is durable. */
+  Optional<JobState> ended(String id) {
+    return Optional.ofNullable(ended.get(id)).map(Ended::state);
+  }
+
+  /** Adds a job that ended under an earlier leader. */
+  void restoreEnded(String id, JobState state) {
+    ended.putIfAbsent(id, new Ended(state, ports.clock().millis()));
+  }
+
   Collection<Job> open() {
     return open.values();
   }
@@ -95,18 +113,17 @@
     long acceptedMillis = ports.clock().millis() - Math.max(0, age);
     Job job = new Job(record.order(), accepted, record.epoch(), acceptedMillis);
     job.durable = true;
-    jobs.put(job.id(), job);
     progress.ifPresentOrElse(
         saved -> job.restore(saved, openUntil()), () -> job.openUntil(openUntil()));
-    if (job.state.ended()) {
-      job.endedMillis = ports.clock().millis();
-      return;
-    }
+    jobs.put(job.id(), job);
     open.put(job.id(), job);
   }
 
-  /** Writes the progress of a job with the next commit. */
+  /** Writes the progress of a job that has not ended with the next commit. */
   void save(Job job) {
+    if (job.state.ended()) {
+      return;
+    }
     ports
         .journal()
         .put(new RowName(Rows.PROGRESS_TABLE, job.id()), () -> Rows.encode(job.record()));
@@ -115,10 +132,22 @@
   /** Ends a job; callers see it once it is durable. */
   void end(Job job, JobState state) {
     job.state = state;
-    job.endedMillis = ports.clock().millis();
     open.remove(job.id());
-    save(job);
-    ports.journal().whenDurable(() -> job.shown = state);
+    EndedRecord record = new EndedRecord(state);
+    ports
+        .journal()
+        .replace(
+            new RowName(Rows.ENDED_TABLE, job.id()),
+            () -> Rows.encode(record),
+            List.of(
+                new RowName(Rows.JOB_TABLE, job.id()), new RowName(Rows.PROGRESS_TABLE, job.id())));
+    ports
+        .journal()
+        .whenDurable(
+            () -> {
+              jobs.remove(job.id());
+              ended.put(job.id(), new Ended(state, ports.clock().millis()));
+            });
   }
 
   /** Opens occurrences whose time has come near. */
@@ -137,16 +166,16 @@
   /** Forgets jobs that ended longer ago than they must be shown. */
   void dropOld() {
     long before = ports.clock().millis() - ports.limits().statusKept().toMillis();
-    List<Job> old = new ArrayList<>();
-    for (Job job : jobs.values()) {
-      if (job.endedMillis >= 0 && job.endedMillis < before && job.shown.ended()) {
-        old.add(job);
-      }
-    }
-    for (Job job : old) {
-      jobs.remove(job.id());
-      ports.journal().remove(new RowName(Rows.JOB_TABLE, job.id()));
-      ports.journal().remove(new RowName(Rows.PROGRESS_TABLE, job.id()));
+    List<String> old = new ArrayList<>();
+    ended.forEach(
+        (id, end) -> {
+          if (end.sinceMillis < before) {
+            old.add(id);
+          }
+        });
+    for (String id : old) {
+      ended.remove(id);
+      ports.journal().remove(new RowName(Rows.ENDED_TABLE, id));
     }
   }
 
--- a/masticspread-cell/src/main/java/org/masticspread/cell/journal/Journal.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/journal/Journal.java
@@ -5,7 +5,6 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
-import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -44,7 +43,7 @@
   /** Between two attempts while the store refuses. */
   private static final Duration REFUSED_PAUSE = Duration.ofMillis(80);
 
-  /** The store allows 100 entries in a transaction; some are conditions and the head. */
+  /** The store allows 100 entries; some are conditions, the head and rows that go together. */
   private static final int MOST_ROWS = 90;
 
   /** The store allows 1 MB in a transaction, as text of 4/3 of the size. */
@@ -131,10 +130,28 @@
     add(row, Optional.empty());
   }
 
+  /**
+   * Writes a row and drops others in one commit: none of it is ever seen without the rest.
+   *
+   * @param row the row
+   * @param content encodes the content when the commit is made
+   * @param gone the rows that it replaces
+   */
+  public void replace(RowName row, Supplier<byte[]> content, List<RowName> gone) {
+    List<RowName> together = new ArrayList<>(gone);
+    together.add(row);
+    add(row, Optional.of(content), together);
+    gone.forEach(old -> add(old, Optional.empty(), together));
+  }
+
   private void add(RowName row, Optional<Supplier<byte[]>> content) {
+    add(row, content, List.of());
+  }
+
+  private void add(RowName row, Optional<Supplier<byte[]>> content, List<RowName> together) {
     Entry old = dirty.get(row);
     long sequence = old == null ? ++lastSequence : old.sequence;
-    dirty.put(row, new Entry(sequence, content));
+    dirty.put(row, new Entry(sequence, content, together));
     schedule(LINGER);
   }
 
@@ -245,21 +262,33 @@
   }
 
   private long take(List<Put> puts, List<RowName> removals) {
-    Iterator<Map.Entry<RowName, Entry>> rows = dirty.entrySet().iterator();
     long sequence = durableSequence;
     int bytes = 0;
-    while (rows.hasNext() && puts.size() + removals.size() < MOST_ROWS && bytes < MOST_BYTES) {
-      Map.Entry<RowName, Entry> row = rows.next();
-      sequence = row.getValue().sequence;
-      Optional<byte[]> content = row.getValue().content.map(Supplier::get);
-      content.ifPresent(value -> puts.add(new Put(row.getKey(), value)));
-      if (content.isEmpty()) {
-        removals.add(row.getKey());
+    while (!dirty.isEmpty() && puts.size() + removals.size() < MOST_ROWS && bytes < MOST_BYTES) {
+      RowName first = dirty.keySet().iterator().next();
+      Entry entry = dirty.get(first);
+      sequence = entry.sequence;
+      bytes += take(first, puts, removals);
+      for (RowName row : entry.together) {
+        bytes += take(row, puts, removals);
       }
-      bytes += content.map(value -> value.length).orElse(0);
-      rows.remove();
     }
-    return sequence;
+    // Rows that went along with earlier ones have higher numbers, of which none is left then.
+    return dirty.isEmpty() ? lastSequence : sequence;
+  }
+
+  /** Moves a row into the commit, if it waits; returns the bytes of its content. */
+  private int take(RowName row, List<Put> puts, List<RowName> removals) {
+    Entry entry = dirty.remove(row);
+    if (entry == null) {
+      return 0;
+    }
+    Optional<byte[]> content = entry.content.map(Supplier::get);
+    content.ifPresent(value -> puts.add(new Put(row, value)));
+    if (content.isEmpty()) {
+      removals.add(row);
+    }
+    return content.map(value -> value.length).orElse(0);
   }
 
   private void send() {
@@ -344,7 +373,7 @@
     timers.after(pause, this::send);
   }
 
-  private record Entry(long sequence, Optional<Supplier<byte[]>> content) {}
+  private record Entry(long sequence, Optional<Supplier<byte[]>> content, List<RowName> together) {}
 
   private record Waiter(long sequence, Runnable action) {}
 
--- a/masticspread-cell/src/main/java/org/masticspread/cell/journal/Rows.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/journal/Rows.java
@@ -34,6 +34,9 @@
   /** Holds the progress of the accepted jobs. */
   public static final String PROGRESS_TABLE = "progress";
 
+  /** Holds how each job ended that is still shown. */
+  public static final String ENDED_TABLE = "ended";
+
   /** The row that names the leader. */
   public static final RowName LEADER = new RowName(LEADER_TABLE, "leader");
 
--- a/masticspread-cell/src/main/java/org/masticspread/cell/lead/CellLoader.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/lead/CellLoader.java
@@ -6,8 +6,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.BiConsumer;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import org.masticspread.cell.journal.EndedRecord;
 import org.masticspread.cell.journal.JobRecord;
 import org.masticspread.cell.journal.ProgressRecord;
 import org.masticspread.cell.journal.Rows;
@@ -61,6 +63,15 @@
     readAll(Rows.JOB_TABLE, "", row -> decode(JobRecord.class, row).ifPresent(jobs::add), done);
   }
 
+  /** Reads how the jobs ended that have; the action is not run once they are not wanted. */
+  void loadEnded(BiConsumer<String, EndedRecord> each, Runnable then) {
+    readAll(
+        Rows.ENDED_TABLE,
+        "",
+        row -> decode(EndedRecord.class, row).ifPresent(end -> each.accept(row.key(), end)),
+        then);
+  }
+
   private static List<Stored> join(List<JobRecord> jobs, Map<String, ProgressRecord> progress) {
     List<Stored> stored = new ArrayList<>();
     for (JobRecord job : jobs) {
--- a/masticspread-cell/src/main/java/org/masticspread/cell/lead/Vm.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/lead/Vm.java
@@ -428,19 +428,23 @@
             });
     registry = Optional.of(workers);
     workers.start();
-    loader.load(jobs -> loaded(term, jobs, early, begun));
+    loader.load(jobs -> loaded(term, loader, jobs, early, begun));
   }
 
   private record WorkersRead(List<TableRow> rows, boolean all) {}
 
   /** Begins once jobs, workers and configuration are read: without workers each job is refused. */
   private void loaded(
-      Term term, List<CellLoader.Stored> jobs, List<WorkersRead> workers, long begun) {
+      Term term,
+      CellLoader loader,
+      List<CellLoader.Stored> jobs,
+      List<WorkersRead> workers,
+      long begun) {
     if (leadership.epoch() != term.epoch()) {
       return;
     }
     if (config.isEmpty() || workers.isEmpty()) {
-      ports.timers().after(LOAD_PAUSE, () -> loaded(term, jobs, workers, begun));
+      ports.timers().after(LOAD_PAUSE, () -> loaded(term, loader, jobs, workers, begun));
       return;
     }
     Journal fresh =
@@ -466,6 +470,8 @@
     workers.forEach(read -> readWorkers(next, read.rows(), read.all()));
     cell = Optional.of(next);
     next.begin();
+    loader.loadEnded(
+        (id, end) -> next.restoreEnded(id, end.state()), () -> endedKnown(next, begun));
     ports
         .log()
         .event(
@@ -479,6 +485,19 @@
             ports.clock().millis() - begun);
   }
 
+  private void endedKnown(Cell target, long begun) {
+    ports
+        .log()
+        .event(
+            "ended-jobs-loaded",
+            roster.self().vm(),
+            "epoch",
+            leadership.epoch(),
+            "tookMs",
+            ports.clock().millis() - begun);
+    target.endedKnown();
+  }
+
   private void readWorkers(Cell target, List<TableRow> rows, boolean all) {
     List<String> ids = new ArrayList<>();
     for (TableRow row : rows) {
--- a/masticspread-cell/src/test/java/org/masticspread/cell/engine/CellTest.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/engine/CellTest.java
@@ -9,6 +9,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.masticspread.cell.journal.Rows;
 import org.masticspread.cell.testing.CellFixture;
 import org.masticspread.cell.testing.FakeTable.Fate;
 import org.masticspread.cell.testing.Jobs;
@@ -447,6 +448,74 @@
     }
   }
 
+  @Nested
+  class EndedJobs {
+    @Test
+    void should_keep_only_how_a_job_ended() {
+      // WHEN
+      fixture.accept(job("a", 3, 1000, SHORT, false));
+      pass(1000);
+
+      // THEN
+      assertThat(fixture.table.rowsOf(Rows.JOB_TABLE)).isEmpty();
+      assertThat(fixture.table.rowsOf(Rows.PROGRESS_TABLE)).isEmpty();
+      assertThat(fixture.table.rowsOf(Rows.ENDED_TABLE)).hasSize(1);
+    }
+
+    @Test
+    void should_show_a_job_that_ended_under_another_leader_and_not_run_it_again() {
+      // GIVEN
+      JobOrder order = job("a", 1, 1000, SHORT, false);
+      fixture.accept(order);
+      pass(1000);
+
+      // WHEN
+      fixture.lead();
+      CellReply again = fixture.accept(order);
+      pass(1000);
+
+      // THEN
+      assertThat(again.outcome()).isEqualTo(Outcome.ACCEPTED);
+      assertThat(fixture.state("a")).isEqualTo(JobState.SUCCEEDED);
+      assertThat(fixture.startsOf("a.0.0.0")).isEqualTo(1);
+    }
+
+    @Test
+    void should_keep_calls_about_unknown_jobs_until_ended_ones_are_read() {
+      // GIVEN
+      fixture.readsEnded = false;
+      fixture.lead();
+
+      // WHEN
+      List<CellReply> shown = fixture.call(Action.SHOW, "a", null);
+      List<CellReply> submitted = fixture.submit(job("a", 1, 1000, SHORT, false));
+      pass(100);
+
+      // THEN
+      assertThat(shown).isEmpty();
+      assertThat(submitted).isEmpty();
+      fixture.cell.restoreEnded("a", JobState.SUCCEEDED);
+      fixture.cell.endedKnown();
+      assertThat(shown.get(0).state()).isEqualTo(JobState.SUCCEEDED);
+      assertThat(submitted.get(0).outcome()).isEqualTo(Outcome.ACCEPTED);
+      assertThat(fixture.startsOf("a.0.0.0")).isZero();
+    }
+
+    @Test
+    void should_answer_waiting_calls_uncertain_when_the_leader_changes() {
+      // GIVEN
+      fixture.readsEnded = false;
+      fixture.lead();
+      List<CellReply> submitted = fixture.submit(job("a", 1, 1000, SHORT, false));
+
+      // WHEN
+      fixture.cell.close();
+
+      // THEN
+      assertThat(submitted.get(0).outcome()).isEqualTo(Outcome.UNCERTAIN);
+    }
+  }
+
   @Nested
   class Takeover {
     @Test
--- a/masticspread-cell/src/test/java/org/masticspread/cell/journal/JournalTest.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/journal/JournalTest.java
@@ -105,6 +105,35 @@
     }
   }
 
+  @Nested
+  class Replace {
+    @Test
+    void should_write_all_rows_of_a_replacement_in_one_commit() {
+      // GIVEN
+      RowName order = new RowName("jobs", "a");
+      RowName progress = new RowName("progress", "a");
+      RowName ended = new RowName("ended", "a");
+      journal.put(progress, () -> new byte[1]);
+      for (int i = 0; i < 200; i++) {
+        journal.put(new RowName("other", "k" + i), () -> new byte[1]);
+      }
+
+      // WHEN
+      journal.replace(ended, () -> new byte[1], List.of(order, progress));
+      time.pass(Duration.ofMillis(200));
+
+      // THEN
+      for (TableCommit commit : table.commits()) {
+        boolean drops = commit.removals().contains(progress);
+        boolean writes = commit.puts().stream().anyMatch(put -> put.row().equals(ended));
+        assertThat(drops).isEqualTo(writes).isEqualTo(commit.removals().contains(order));
+        assertThat(commit.puts().size() + commit.removals().size()).isLessThan(98);
+      }
+      assertThat(table.row(ended)).isPresent();
+      assertThat(table.row(progress)).isEmpty();
+    }
+  }
+
   @Nested
   class WhenDurable {
     @Test
--- a/masticspread-cell/src/test/java/org/masticspread/cell/testing/CellFixture.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/testing/CellFixture.java
@@ -10,6 +10,7 @@
 import org.masticspread.cell.engine.Cell;
 import org.masticspread.cell.engine.CellLimits;
 import org.masticspread.cell.engine.CellPorts;
+import org.masticspread.cell.journal.EndedRecord;
 import org.masticspread.cell.journal.HeadRecord;
 import org.masticspread.cell.journal.JobRecord;
 import org.masticspread.cell.journal.Journal;
@@ -54,6 +55,9 @@
   public Journal journal;
   public boolean fenced;
 
+  /** Whether a new leader has read how earlier jobs ended. */
+  public boolean readsEnded = true;
+
   /** Whether {@link #events} is filled; long runs switch it off. */
   public boolean keepEvents = true;
 
@@ -127,6 +131,9 @@
     restore();
     workers.entries().forEach(cell::register);
     cell.begin();
+    if (readsEnded) {
+      cell.endedKnown();
+    }
     return this;
   }
 
@@ -142,6 +149,13 @@
   }
 
   private void restore() {
+    for (TableRow row : table.rowsOf(Rows.ENDED_TABLE)) {
+      try {
+        cell.restoreEnded(row.key(), Rows.decode(EndedRecord.class, row.value()).state());
+      } catch (InvalidFieldException e) {
+        throw new AssertionError(e);
+      }
+    }
     for (TableRow row : table.rowsOf(Rows.JOB_TABLE)) {
       try {
         JobRecord record = Rows.decode(JobRecord.class, row.value());
