What still runs of a job that ended under another leader counts as its whole worker

Since ended jobs are kept without their orders, a new leader that finds a run of one at a worker, as it is being stopped, does not know what it needs, and booked nothing for it. Now such a run counts as the whole worker until it is over. The test failed before (three workers overfilled).

--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Reports.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Reports.java
@@ -253,7 +253,9 @@
         found
             .map(task -> task.waiting() && !task.step.job.state.ended() && task.step.job.durable)
             .orElse(false);
-    ResourceVector booked = found.map(task -> task.step.spec.booked()).orElse(ResourceVector.ZERO);
+    // What a run of a job that has ended needs is not kept: it counts as the whole worker until it
+    // is over.
+    ResourceVector booked = found.map(task -> task.step.spec.booked()).orElse(worker.capacity());
     Run run = new Run(row.task(), row.run(), worker, booked, needed ? found.get() : null);
     run.startedAtMillis = now();
     run.enter(Run.Phase.RUNNING, now());
--- a/masticspread-cell/src/test/java/org/masticspread/cell/engine/CellTest.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/engine/CellTest.java
@@ -480,6 +480,23 @@
       assertThat(fixture.startsOf("a.0.0.0")).isEqualTo(1);
     }
 
+    @Test
+    void should_not_fill_the_room_of_what_still_runs_of_a_job_that_ended_under_another_leader() {
+      // GIVEN
+      fixture.workers.entries().forEach(e -> fixture.workers.state(e.id()).stopTakes = LONG);
+      fixture.accept(job("a", 3, 4000, LONG, false));
+      fixture.call(Action.CANCEL, "a", null);
+      pass(100);
+
+      // WHEN
+      fixture.lead();
+      fixture.submit(job("b", 3, 4000, SHORT, false));
+      pass(1500);
+
+      // THEN
+      assertThat(fixture.workers.violations()).isEmpty();
+    }
+
     @Test
     void should_keep_calls_about_unknown_jobs_until_ended_ones_are_read() {
       // GIVEN
