A gang leaves the workers that it waits for when its queue moves to another endpoint

Cause: a kept plan was followed as long as its workers were usable, also after a configuration that sends the queue elsewhere; a gang that waited for long could start there past the time in which a change must be in force. Found by reading the change. The test failed before (three starts on the old endpoint).

--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Gangs.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Gangs.java
@@ -53,7 +53,7 @@
             step.name,
             cell.expectedMillis(queue, step.spec),
             ports.limits().farSlowdown());
-    Optional<GangPlan> kept = keptPlan(gang, step, outlook);
+    Optional<GangPlan> kept = keptPlan(gang, step, queue, outlook);
     if (outlook.nowMillis() < step.searchAgainMillis) {
       kept.ifPresent(plan -> follow(step, queue, plan, gang, outlook));
       return;
@@ -76,13 +76,14 @@
   }
 
   /** Returns the plan that those workers of the former plan allow that are still usable. */
-  private Optional<GangPlan> keptPlan(GangPlan.Gang gang, Step step, Outlook outlook) {
+  private Optional<GangPlan> keptPlan(
+      GangPlan.Gang gang, Step step, QueueRule queue, Outlook outlook) {
     if (step.planned.isEmpty()) {
       return Optional.empty();
     }
     List<Forecast> former = new ArrayList<>();
     for (Worker worker : step.planned) {
-      if (outlook.usable(worker)) {
+      if (outlook.usable(queue, worker)) {
         former.add(outlook.of(worker));
       }
     }
--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Outlook.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Outlook.java
@@ -70,8 +70,10 @@
     return workers(queue).stream().mapToLong(worker -> worker.capacity().millicores()).sum();
   }
 
-  boolean usable(Worker worker) {
-    return usableNow.computeIfAbsent(worker, fleet::usable);
+  /** Tells whether a queue may use a worker, by the configuration in force. */
+  boolean usable(QueueRule queue, Worker worker) {
+    return worker.entry.endpoint().equals(queue.endpoint())
+        && usableNow.computeIfAbsent(worker, fleet::usable);
   }
 
   /** Returns the forecast of a worker, with all that this pass has started and reserved there. */
--- a/masticspread-cell/src/test/java/org/masticspread/cell/engine/CellTest.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/engine/CellTest.java
@@ -14,6 +14,7 @@
 import org.masticspread.cell.testing.FakeTable.Fate;
 import org.masticspread.cell.testing.Jobs;
 import org.masticspread.model.cell.AdviceRule;
+import org.masticspread.model.cell.CellConfig;
 import org.masticspread.model.cell.JobOrder;
 import org.masticspread.model.cell.JobState;
 import org.masticspread.model.peer.CellCall.Action;
@@ -419,6 +420,42 @@
       assertThat(fixture.workers.succeeded()).contains("a.0.0.0");
     }
 
+    /** Lets the layouts run on the annex, and the checks on an endpoint. */
+    private void configure(long version, String endpointOfChecks) {
+      CellConfig config =
+          Jobs.config(
+              Jobs.queue("checks", endpointOfChecks, 0, Optional.empty()),
+              Jobs.queue("layouts", "annex", 1, Optional.empty()));
+      fixture.cell.configure(
+          new CellConfig(
+              version,
+              config.queues(),
+              config.endpoints(),
+              config.mostBodyBytes(),
+              config.idleTimeout()));
+    }
+
+    @Test
+    void should_leave_the_workers_that_it_waits_for_when_its_queue_moves_to_another_endpoint() {
+      // GIVEN
+      fixture.cell.register(fixture.workers.add("x1", "annex", "r3", 12_000).entry);
+      configure(2, "desk");
+      fixture.workers.describe("busy", new ResourceVector(12_000, 1024, 0), Duration.ofSeconds(2));
+      fixture.accept(
+          Jobs.job("busy", "layouts", Jobs.step(1, 12_000, Duration.ofSeconds(2), false)));
+      fixture.accept(job("other", 3, 4000, Duration.ofSeconds(1), false));
+      fixture.accept(job("a", 3, 4000, SHORT, true));
+
+      // WHEN
+      configure(3, "annex");
+      pass(4000);
+
+      // THEN
+      assertThat(fixture.workers.starts()).filteredOn(start -> start.contains(" a."))
+          .hasSize(3)
+          .allMatch(start -> start.startsWith("x1 "));
+    }
+
     @Test
     void should_stop_the_members_when_one_does_not_start() {
       // GIVEN
--- a/masticspread-cell/src/test/java/org/masticspread/cell/testing/FakeWorkers.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/testing/FakeWorkers.java
@@ -95,10 +95,15 @@
 
   /** Adds a worker and returns its state. */
   public State add(String id, String rack, long millicores) {
+    return add(id, "desk", rack, millicores);
+  }
+
+  /** Adds a worker of an endpoint and returns its state. */
+  public State add(String id, String endpoint, String rack, long millicores) {
     WorkerEntry entry =
         new WorkerEntry(
             id,
-            "desk",
+            endpoint,
             "127.0.0.1:1",
             "dc",
             rack,
--- a/masticspread-cell/src/test/java/org/masticspread/cell/testing/Jobs.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/testing/Jobs.java
@@ -55,11 +55,17 @@
 
   /** Returns a queue with an objective of 4 times the run time and 2 s. */
   public static QueueRule queue(String name, int priority, Optional<AdviceRule> advice) {
+    return queue(name, "desk", priority, advice);
+  }
+
+  /** Returns a queue of an endpoint. */
+  public static QueueRule queue(
+      String name, String endpoint, int priority, Optional<AdviceRule> advice) {
     return new QueueRule(
         name,
         "desk.example",
         "/" + name + "/",
-        "desk",
+        endpoint,
         Duration.ofSeconds(3),
         Duration.ofSeconds(2),
         priority,
