--- a/masticspread-cell/src/test/java/org/masticspread/cell/engine/CellTest.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/engine/CellTest.java
@@ -451,7 +451,8 @@
       pass(4000);
 
       // THEN
-      assertThat(fixture.workers.starts()).filteredOn(start -> start.contains(" a."))
+      assertThat(fixture.workers.starts())
+          .filteredOn(start -> start.contains(" a."))
           .hasSize(3)
           .allMatch(start -> start.startsWith("x1 "));
     }
