--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Cell.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Cell.java
@@ -285,14 +285,13 @@
       return;
     }
     waiting.add(reply);
-    answer(
-        call,
+    Consumer<CellReply> once =
         answer -> {
           if (waiting.remove(reply)) {
             reply.accept(answer);
           }
-        },
-        0);
+        };
+    ports.meter().timed("call." + call.action(), () -> answer(call, once, 0));
   }
 
   private void answer(CellCall call, Consumer<CellReply> reply, int waits) {
@@ -540,10 +539,7 @@
       return;
     }
     ticks++;
-    for (Worker worker : List.copyOf(fleet.all())) {
-      renewals.lapse(worker);
-      renewals.findStanding(worker);
-    }
+    ports.meter().timed("tick", this::lookAtWorkers);
     withdrawUnstored();
     jobs.openOccurrences();
     if (ticks % 5 == 0) {
@@ -557,6 +553,13 @@
     ports.timers().after(TICK, this::tick);
   }
 
+  private void lookAtWorkers() {
+    for (Worker worker : List.copyOf(fleet.all())) {
+      renewals.lapse(worker);
+      renewals.findStanding(worker);
+    }
+  }
+
   /** Plans again soon. */
   void requestPass() {
     if (closed || passScheduled) {
@@ -570,7 +573,7 @@
             () -> {
               passScheduled = false;
               if (!closed && !paused) {
-                scheduler.pass();
+                ports.meter().timed("pass", scheduler::pass);
               }
             });
   }
--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/CellPorts.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/CellPorts.java
@@ -4,6 +4,7 @@
 import java.time.InstantSource;
 import org.masticspread.cell.journal.Journal;
 import org.masticspread.cell.journal.Term;
+import org.masticspread.cell.load.LoadMeter;
 import org.masticspread.cell.log.EventLog;
 import org.masticspread.cell.port.Timers;
 import org.masticspread.cell.port.WorkerPort;
@@ -21,6 +22,7 @@
  * @param log told of each decision
  * @param metrics counters and histograms
  * @param limits the platform's bounds
+ * @param meter counts bytes and processor time
  */
 public record CellPorts(
     Term term,
@@ -32,4 +34,5 @@
     InstantSource timeOfDay,
     EventLog log,
     MetricRegistry metrics,
-    CellLimits limits) {}
+    CellLimits limits,
+    LoadMeter meter) {}
--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Renewals.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Renewals.java
@@ -69,7 +69,8 @@
         ports
             .workers()
             .renew(worker.entry, renewal)
-            .subscribe(result -> renewed(worker, result, sent));
+            .subscribe(
+                result -> ports.meter().timed("renewal", () -> renewed(worker, result, sent)));
   }
 
   private void renewed(Worker worker, RenewResult result, long sent) {
--- a/masticspread-cell/src/main/java/org/masticspread/cell/lead/Vm.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/lead/Vm.java
@@ -461,7 +461,8 @@
                 ports.timeOfDay(),
                 ports.log(),
                 ports.metrics(),
-                ports.limits()),
+                ports.limits(),
+                ports.meter()),
             config.get(),
             leadership::fenced);
     jobs.forEach(job -> next.restore(job.record(), job.progress()));
--- a/masticspread-cell/src/main/java/org/masticspread/cell/lead/VmPorts.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/lead/VmPorts.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.function.Function;
 import org.masticspread.cell.engine.CellLimits;
+import org.masticspread.cell.load.LoadMeter;
 import org.masticspread.cell.log.EventLog;
 import org.masticspread.cell.port.AdvisorPort;
 import org.masticspread.cell.port.TablePort;
@@ -30,6 +31,7 @@
  * @param log told of each decision
  * @param metrics counters and histograms
  * @param limits the platform's bounds
+ * @param meter counts bytes and processor time
  */
 public record VmPorts(
     TablePort store,
@@ -43,7 +45,8 @@
     InstantSource timeOfDay,
     EventLog log,
     MetricRegistry metrics,
-    CellLimits limits) {
+    CellLimits limits,
+    LoadMeter meter) {
 
   /**
    * Rows of the store that others write.
--- a/masticspread-cell/src/test/java/org/masticspread/cell/testing/CellFixture.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/testing/CellFixture.java
@@ -18,6 +18,7 @@
 import org.masticspread.cell.journal.ProgressRecord;
 import org.masticspread.cell.journal.Rows;
 import org.masticspread.cell.journal.Term;
+import org.masticspread.cell.load.LoadMeter;
 import org.masticspread.cell.log.EventLog;
 import org.masticspread.cell.port.TableCommit;
 import org.masticspread.cell.port.TableCommit.Put;
@@ -125,7 +126,18 @@
     AdviceDesk desk = new AdviceDesk(advisor, () -> vms, time);
     cell =
         new Cell(
-            new CellPorts(term, journal, workers, desk, time, time, time, log, metrics, LIMITS),
+            new CellPorts(
+                term,
+                journal,
+                workers,
+                desk,
+                time,
+                time,
+                time,
+                log,
+                metrics,
+                LIMITS,
+                new LoadMeter(metrics, System::nanoTime)),
             config,
             () -> fenced = true);
     restore();
--- a/masticspread-cell/src/test/java/org/masticspread/cell/testing/VmCluster.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/testing/VmCluster.java
@@ -15,6 +15,7 @@
 import org.masticspread.cell.journal.VmRecord;
 import org.masticspread.cell.lead.Vm;
 import org.masticspread.cell.lead.VmPorts;
+import org.masticspread.cell.load.LoadMeter;
 import org.masticspread.cell.port.CommitResult;
 import org.masticspread.cell.port.RowPage;
 import org.masticspread.cell.port.StoreReadException;
@@ -60,6 +61,7 @@
     workers.entries().forEach(entry -> write("servers", entry.id()));
     String life = "life-" + ++lives;
     Vm[] created = new Vm[1];
+    MetricRegistry metrics = new MetricRegistry();
     VmPorts ports =
         new VmPorts(
             new Store(name, life),
@@ -79,8 +81,9 @@
             time,
             time,
             (event, id, facts) -> events.add(time.millis() + " " + name + " " + event + " " + id),
-            new MetricRegistry(),
-            CellFixture.LIMITS);
+            metrics,
+            CellFixture.LIMITS,
+            new LoadMeter(metrics, System::nanoTime));
     Vm vm = new Vm(ports, new VmRecord(name, life, name + ":1", strength, "dc"));
     created[0] = vm;
     members.put(name, new Member(vm, new Gateway(ports, vm), life));
--- a/masticspread-wire/src/main/java/org/masticspread/wire/MessageTypes.java
+++ b/masticspread-wire/src/main/java/org/masticspread/wire/MessageTypes.java
@@ -119,6 +119,17 @@
     return number;
   }
 
+  /**
+   * Returns the name of a message, as its bytes are counted.
+   *
+   * @param number its number
+   * @return its name; "control" for numbers below those of messages and for unknown ones
+   */
+  public static String nameOf(int number) {
+    Class<? extends PeerMessage> type = TYPES.get(number);
+    return type == null ? "control" : type.getSimpleName();
+  }
+
   /**
    * Writes a message as MessagePack.
    *
--- a/masticspread-wire/src/main/java/org/masticspread/wire/internal/FrameCodec.java
+++ b/masticspread-wire/src/main/java/org/masticspread/wire/internal/FrameCodec.java
@@ -39,7 +39,7 @@
     byte[] bytes = frame.encode();
     out.writeInt(bytes.length);
     out.writeBytes(bytes);
-    metrics.sent(bytes.length + LENGTH_BYTES);
+    metrics.sent(frame.kind(), bytes.length + LENGTH_BYTES);
   }
 
   @Override
@@ -59,7 +59,8 @@
     in.skipBytes(LENGTH_BYTES);
     byte[] bytes = new byte[length];
     in.readBytes(bytes);
-    metrics.received(length + LENGTH_BYTES);
-    out.add(Frame.decode(bytes));
+    Frame frame = Frame.decode(bytes);
+    metrics.received(frame.kind(), length + LENGTH_BYTES);
+    out.add(frame);
   }
 }
--- a/masticspread-wire/src/main/java/org/masticspread/wire/internal/WireMetrics.java
+++ b/masticspread-wire/src/main/java/org/masticspread/wire/internal/WireMetrics.java
@@ -2,9 +2,11 @@
 
 import com.codahale.metrics.Counter;
 import com.codahale.metrics.MetricRegistry;
+import org.masticspread.wire.MessageTypes;
 
 /** The counters of the inner protocol. */
 public final class WireMetrics {
+  private final MetricRegistry registry;
   private final Counter framesIn;
   private final Counter framesOut;
   private final Counter bytesIn;
@@ -18,9 +20,11 @@
   /**
    * Creates the counters.
    *
-   * @param registry holds them under {@code wire.}
+   * @param registry holds them under {@code wire.}, and the bytes of each kind of message under
+   *     {@code bytes.out.peer.} and {@code bytes.in.peer.}
    */
   public WireMetrics(MetricRegistry registry) {
+    this.registry = registry;
     framesIn = registry.counter("wire.frames.in");
     framesOut = registry.counter("wire.frames.out");
     bytesIn = registry.counter("wire.bytes.in");
@@ -32,14 +36,20 @@
     strangers = registry.counter("wire.strangers");
   }
 
-  void sent(int bytes) {
+  void sent(int kind, int bytes) {
     framesOut.inc();
     bytesOut.inc(bytes);
+    count("out", kind, bytes);
   }
 
-  void received(int bytes) {
+  void received(int kind, int bytes) {
     framesIn.inc();
     bytesIn.inc(bytes);
+    count("in", kind, bytes);
+  }
+
+  private void count(String direction, int kind, int bytes) {
+    registry.counter("bytes." + direction + ".peer." + MessageTypes.nameOf(kind)).inc(bytes);
   }
 
   /** Counts a connection that replaces a lost one. */
