--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Approvals.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Approvals.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.masticspread.model.cell.AdviceRule;
 import org.masticspread.model.cell.QueueRule;
 import org.masticspread.model.peer.AdviceReply;
@@ -34,10 +35,12 @@
 
   private final CellPorts ports;
   private final Cell cell;
+  private final Fleet fleet;
   private final Map<String, Double> shares = new HashMap<>();
 
-  Approvals(CellPorts ports, Cell cell) {
+  Approvals(CellPorts ports, Cell cell, Fleet fleet) {
     this.ports = ports;
+    this.fleet = fleet;
     this.cell = cell;
   }
 
@@ -57,6 +60,34 @@
         && approval.untilMillis() > atMillis + TICKET_MARGIN.toMillis();
   }
 
+  /** Returns the usable workers on which a step may start at the moment of a pass. */
+  List<Worker> startable(Step step, QueueRule queue, Outlook outlook) {
+    if (queue.advice().isEmpty()) {
+      return outlook.workers(queue);
+    }
+    List<Worker> workers = new ArrayList<>();
+    for (Map.Entry<String, Step.Approval> entry : step.approvals.entrySet()) {
+      if (!entry.getValue().approved()) {
+        continue;
+      }
+      Optional<Worker> worker = fleet.find(entry.getKey());
+      if (worker.isPresent()
+          && outlook.usable(queue, worker.get())
+          && startable(step, queue, worker.get(), outlook.nowMillis())) {
+        workers.add(worker.get());
+      }
+    }
+    return workers;
+  }
+
+  /** Tells whether a call about a step would be sent now. */
+  boolean mayAsk(Step step, QueueRule queue) {
+    return queue.advice().isPresent()
+        && step.adviceCalls == 0
+        && now() >= step.adviceNotBeforeMillis
+        && ports.advice().open();
+  }
+
   /** Tells whether a step may use a worker, though its ticket may have lapsed. */
   boolean approved(Step step, QueueRule queue, Worker worker) {
     Step.Approval approval = of(step, worker);
--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Cell.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Cell.java
@@ -54,10 +54,16 @@
   /** Collects the events of a moment in one pass, which looks at all workers. */
   private static final Duration PASS_DELAY = Duration.ofMillis(4);
 
-  /**
-   * Between two passes for each worker: a pass looks at each, and a check has some 300 ms to start.
-   */
-  private static final Duration PASS_PER_WORKER = Duration.ofNanos(60_000);
+  /** Between two passes for each worker, since a pass looks at each. */
+  private static final Duration PASS_PER_WORKER = Duration.ofNanos(15_000);
+
+  /** Between two passes there is this many times as long as a pass takes. */
+  private static final int PASS_REST = 2;
+
+  /** A slow VM passes at least so often: a check has some 250 ms beside its work. */
+  private static final Duration LONGEST_REST = Duration.ofMillis(60);
+
+  private static final double PASS_WEIGHT = 0.2;
 
   /** A commit without an answer for so long: a job handed in now could not be stored in time. */
   private static final Duration STORE_AWAY = Duration.ofMillis(700);
@@ -89,6 +95,7 @@
   private boolean paused;
   private boolean passScheduled;
   private long ticks;
+  private double passMillis;
 
   /** Calls about jobs that may have ended under an earlier leader. */
   private final List<Runnable> untilEndedKnown = new ArrayList<>();
@@ -553,6 +560,18 @@
     ports.timers().after(TICK, this::tick);
   }
 
+  private void pass() {
+    long begun = now();
+    ports.meter().timed("pass", scheduler::pass);
+    passMillis += PASS_WEIGHT * (now() - begun - passMillis);
+  }
+
+  private Duration pause() {
+    Duration rest = Duration.ofMillis((long) (PASS_REST * passMillis));
+    Duration bounded = rest.compareTo(LONGEST_REST) > 0 ? LONGEST_REST : rest;
+    return PASS_DELAY.plus(PASS_PER_WORKER.multipliedBy(fleet.all().size())).plus(bounded);
+  }
+
   private void lookAtWorkers() {
     for (Worker worker : List.copyOf(fleet.all())) {
       renewals.lapse(worker);
@@ -569,11 +588,11 @@
     ports
         .timers()
         .after(
-            PASS_DELAY.plus(PASS_PER_WORKER.multipliedBy(fleet.all().size())),
+            pause(),
             () -> {
               passScheduled = false;
               if (!closed && !paused) {
-                ports.meter().timed("pass", scheduler::pass);
+                pass();
               }
             });
   }
--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Outlook.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Outlook.java
@@ -27,7 +27,6 @@
   private final long nowMillis;
   private final Map<String, List<Worker>> usable = new HashMap<>();
   private final Map<Worker, Boolean> usableNow = new HashMap<>();
-  private final Map<Worker, Forecast> forecasts = new HashMap<>();
   private double idleMillicores;
 
   Outlook(Fleet fleet, long nowMillis) {
@@ -78,7 +77,12 @@
 
   /** Returns the forecast of a worker, with all that this pass has started and reserved there. */
   Forecast of(Worker worker) {
-    return forecasts.computeIfAbsent(worker, this::forecast);
+    Forecast known = worker.forecast(this);
+    if (known == null) {
+      known = forecast(worker);
+      worker.forecast(this, known);
+    }
+    return known;
   }
 
   private Forecast forecast(Worker worker) {
@@ -91,13 +95,13 @@
 
   /** Tells whether a task that has room on a worker delays no gang that waits for it. */
   boolean admits(Worker worker, ResourceVector amount, long untilMillis) {
-    Forecast forecast = forecasts.get(worker);
+    Forecast forecast = worker.forecast(this);
     return forecast == null || forecast.admits(amount, untilMillis);
   }
 
   /** Notes that a task was started. */
   void started(Worker worker, ResourceVector amount, long untilMillis) {
-    Forecast forecast = forecasts.get(worker);
+    Forecast forecast = worker.forecast(this);
     if (forecast != null) {
       forecast.start(amount, untilMillis);
     }
--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Renewals.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Renewals.java
@@ -86,7 +86,8 @@
       renewalFailed(worker, result.outcome());
       return;
     }
-    if (worker.failedRenewals > 0) {
+    final boolean regained = worker.failedRenewals > 0;
+    if (regained) {
       ports.log().event("worker-regained", worker.id(), "failed", worker.failedRenewals);
     }
     worker.failedRenewals = 0;
@@ -95,7 +96,9 @@
     if (!fleetHas(worker)) {
       return;
     }
-    cell.requestPass();
+    if (first || regained) {
+      cell.requestPass();
+    }
     if (worker.renewSoon || first || worker.seenEnd == worker.acknowledgedEnd) {
       renew(worker);
     } else {
--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Scheduler.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Scheduler.java
@@ -3,7 +3,9 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import org.masticspread.cell.policy.Placement;
 import org.masticspread.cell.policy.Room;
@@ -38,7 +40,7 @@
     this.fleet = fleet;
     this.cell = cell;
     this.launcher = launcher;
-    this.approvals = new Approvals(ports, cell);
+    this.approvals = new Approvals(ports, cell, fleet);
     this.gangs = new Gangs(ports, cell, launcher, approvals);
   }
 
@@ -117,19 +119,12 @@
     Step step = next.step;
     boolean urgent = next.queue.priority() == 0;
     long runs = cell.expectedMillis(next.queue, step.spec);
-    List<Worker> roomy = new ArrayList<>();
     List<Worker> startable = new ArrayList<>();
-    for (Worker worker : outlook.workers(next.queue)) {
+    for (Worker worker : approvals.startable(step, next.queue, outlook)) {
       if (hasRoom(step, worker, runs, outlook)) {
-        roomy.add(worker);
-        if (approvals.startable(step, next.queue, worker, now())) {
-          startable.add(worker);
-        }
+        startable.add(worker);
       }
     }
-    if (roomy.isEmpty()) {
-      return;
-    }
     int left = step.waiting();
     for (Task task : step.tasks) {
       if (!task.waiting()) {
@@ -150,7 +145,13 @@
       launcher.start(run, approvals.ticket(step, worker));
       left--;
     }
-    if (left > 0 && next.queue.advice().isPresent()) {
+    if (left > 0 && approvals.mayAsk(step, next.queue)) {
+      List<Worker> roomy = new ArrayList<>();
+      for (Worker worker : outlook.workers(next.queue)) {
+        if (hasRoom(step, worker, runs, outlook)) {
+          roomy.add(worker);
+        }
+      }
       askForTasks(next, roomy, left);
     }
   }
@@ -176,7 +177,9 @@
         open.add(worker);
       }
     }
-    open.sort(Comparator.comparingDouble(worker -> cell.slowdown(worker, step.spec)));
+    Map<Worker, Double> slowdowns = new HashMap<>();
+    open.forEach(worker -> slowdowns.put(worker, cell.slowdown(worker, step.spec)));
+    open.sort(Comparator.comparingDouble(slowdowns::get));
     int most = Math.min(MOST_WORKERS_ASKED, Math.max(ASKED_AT_LEAST, tasks * ASKED_PER_TASK));
     if (!open.isEmpty()) {
       approvals.ask(step, next.queue, open.subList(0, Math.min(most, open.size())));
--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Worker.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Worker.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import org.masticspread.cell.policy.Forecast;
 import org.masticspread.cell.policy.Room;
 import org.masticspread.cell.policy.SpeedBook;
 import org.masticspread.cell.port.WorkerEntry;
@@ -16,6 +17,16 @@
   /** The runs that may be at work, by task name and run. */
   final Map<String, Run> runs = new LinkedHashMap<>();
 
+  /** The learned speed, kept since each placement asks many times. */
+  private double speed;
+
+  private long speedChanges = -1;
+
+  /** What the pass of an outlook knows of it. */
+  private Outlook lookedAtBy;
+
+  private Forecast forecast;
+
   private final Map<String, Integer> perStep = new HashMap<>();
   private ResourceVector booked = ResourceVector.ZERO;
 
@@ -61,6 +72,17 @@
     this.speeds = speeds;
   }
 
+  /** Returns its forecast in a pass, if the pass has made one. */
+  Forecast forecast(Outlook pass) {
+    return lookedAtBy == pass ? forecast : null;
+  }
+
+  /** Keeps its forecast for a pass. */
+  void forecast(Outlook pass, Forecast made) {
+    lookedAtBy = pass;
+    forecast = made;
+  }
+
   static String key(String task, long run) {
     return task + "#" + run;
   }
@@ -151,7 +173,11 @@
 
   @Override
   public double speed() {
-    return speeds.speed(entry.id());
+    if (speedChanges != speeds.changes()) {
+      speedChanges = speeds.changes();
+      speed = speeds.speed(entry.id());
+    }
+    return speed;
   }
 
   @Override
--- a/masticspread-cell/src/main/java/org/masticspread/cell/policy/SpeedBook.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/policy/SpeedBook.java
@@ -20,6 +20,8 @@
   /** The speeds that follow, kept since placements ask for them all the time. */
   private final Map<String, Double> speeds = new HashMap<>();
 
+  private long changes;
+
   private final Map<String, Regression> queues = new HashMap<>();
 
   /**
@@ -56,6 +58,7 @@
   private void keep(String worker, double log) {
     workers.put(worker, log);
     speeds.put(worker, Math.exp(-log));
+    changes++;
   }
 
   /**
@@ -66,6 +69,7 @@
   public void forget(String worker) {
     workers.remove(worker);
     speeds.remove(worker);
+    changes++;
   }
 
   /**
@@ -78,6 +82,15 @@
     return speeds.getOrDefault(worker, 1.0);
   }
 
+  /**
+   * Counts the changes of speeds, so that a speed can be kept until the next one.
+   *
+   * @return the count
+   */
+  public long changes() {
+    return changes;
+  }
+
   /**
    * Returns the expected time of a task on a worker of speed 1.
    *
