Questions to the advisor wait at one desk, urgent ones first, and long ones never occupy all VMs

Cause: a call went at once to the VM that is free first, so a check's call of 24 ms waited behind gangs' calls of 0.9 s. AdviceDesk keeps the queue, by priority and latest start; AdviceLanes keeps VMs free by the measured demand of urgent calls. Calls that are not wanted any more are not sent.

--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/AdviceDesk.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/AdviceDesk.java
@@ -1,52 +1,62 @@
 package org.masticspread.cell.engine;
 
 import io.reactivex.rxjava3.core.Single;
+import io.reactivex.rxjava3.core.SingleEmitter;
 import java.time.Duration;
 import java.time.InstantSource;
+import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.PriorityQueue;
 import java.util.function.Supplier;
-import org.masticspread.model.cell.AdviceRule;
+import org.masticspread.cell.policy.AdviceLanes;
 import org.masticspread.model.peer.AdviceReply;
 
 /**
- * Spreads calls to the advisor over the VMs: it serves one call at a time of each VM, so each VM is
- * a queue of its own. A call goes to the VM that is free first.
+ * Spreads questions to the advisor over the VMs. They wait here and not at a VM, so that the most
+ * urgent one goes to the next VM that is free; long ones never occupy all VMs ({@link
+ * AdviceLanes}). Questions of one priority go by their latest start, so that none starves.
  */
-public final class AdviceDesk {
+public final class AdviceDesk implements Advice {
   /** Added to a call's time at the advisor: two hops between VMs and to the advisor. */
   private static final Duration OVERHEAD = Duration.ofMillis(8);
 
-  /** How long an answer may take beyond the time that the queue needs. */
+  /** How long an answer may take beyond the time that the call needs. */
   private static final Duration PATIENCE = Duration.ofMillis(400);
 
   /** After a VM did not answer, it is asked again so much later. */
   private static final Duration FAILED_PAUSE = Duration.ofMillis(1500);
 
-  /** Calls are not queued further ahead than this: a ticket would lapse before its turn. */
+  /** What waits longer names workers whose room has changed before it is answered. */
   private static final Duration LONGEST_QUEUE = Duration.ofMillis(1200);
 
-  /** Calls the advisor from a VM. */
-  @FunctionalInterface
-  public interface Caller {
-    /**
-     * Asks which workers may run a step.
-     *
-     * @param vm the VM that calls
-     * @param step the step
-     * @param workers the workers to ask about
-     * @param timeout how long to wait
-     * @return the advice; never fails
-     */
-    Single<AdviceReply> ask(String vm, String step, List<String> workers, Duration timeout);
-  }
+  /** Urgent questions that wait while none is answered. */
+  private static final int MOST_URGENT_WAITING = 200;
+
+  private static final Comparator<Waiting> ORDER =
+      Comparator.<Waiting>comparingInt(waiting -> waiting.urgent() ? 0 : 1)
+          .thenComparingLong(waiting -> waiting.question.latestStartMillis())
+          .thenComparingLong(waiting -> waiting.number);
 
   private final Caller caller;
   private final Supplier<List<String>> vms;
   private final InstantSource clock;
-  private final Map<String, Long> busyUntil = new HashMap<>();
+  private final AdviceLanes lanes = new AdviceLanes();
+  private final PriorityQueue<Waiting> waiting = new PriorityQueue<>(ORDER);
+  private final Map<String, Call> calls = new HashMap<>();
+  private final Map<String, Long> pausedUntil = new HashMap<>();
+  private long asked;
+
+  private record Waiting(Question question, long number, SingleEmitter<AdviceReply> emitter) {
+    boolean urgent() {
+      return question.priority() == 0;
+    }
+  }
+
+  /** A call on its way, which occupies a VM. */
+  private record Call(boolean urgent, long doneMillis) {}
 
   /**
    * Creates a desk.
@@ -61,36 +71,91 @@
     this.clock = clock;
   }
 
-  /**
-   * Tells whether a call would be served soon.
-   *
-   * @return false when every VM has a long queue
-   */
-  boolean open() {
-    return clock.millis() + LONGEST_QUEUE.toMillis() > freeAt(next());
+  @Override
+  public boolean open(int priority) {
+    if (priority == 0) {
+      return waiting.stream().filter(Waiting::urgent).count() < MOST_URGENT_WAITING;
+    }
+    long now = clock.millis();
+    int count = vms.get().size();
+    double ahead = 0;
+    for (Waiting other : waiting) {
+      ahead += other.question.time().toMillis();
+    }
+    for (Call call : calls.values()) {
+      ahead += call.urgent ? 0 : Math.max(0, call.doneMillis - now);
+    }
+    return ahead / Math.max(1, count - lanes.kept(count, now)) < LONGEST_QUEUE.toMillis();
   }
 
-  /** Asks about a step at the VM that is free first. */
-  Single<AdviceReply> ask(String step, List<String> workers, AdviceRule rule) {
-    String vm = next();
-    long now = clock.millis();
-    long done = freeAt(vm) + rule.callTime(workers.size()).plus(OVERHEAD).toMillis();
-    busyUntil.put(vm, done);
-    Duration timeout = Duration.ofMillis(done - now).plus(PATIENCE);
-    return caller.ask(vm, step, workers, timeout).doOnSuccess(reply -> answered(vm, reply));
+  @Override
+  public Single<AdviceReply> ask(Question question) {
+    return Single.create(
+        emitter -> {
+          if (question.priority() == 0) {
+            lanes.asked(question.time().plus(OVERHEAD), clock.millis());
+          }
+          waiting.add(new Waiting(question, asked++, emitter));
+          look();
+        });
+  }
+
+  @Override
+  public void look() {
+    if (waiting.isEmpty()) {
+      return;
+    }
+    List<String> free = free();
+    int count = vms.get().size();
+    long longCalls = calls.values().stream().filter(call -> !call.urgent).count();
+    int mostLong = count - lanes.kept(count, clock.millis());
+    List<Waiting> held = new ArrayList<>();
+    while (!free.isEmpty() && !waiting.isEmpty()) {
+      Waiting next = waiting.poll();
+      if (!next.question.wanted().getAsBoolean()) {
+        next.emitter.onSuccess(AdviceReply.NONE);
+      } else if (next.urgent()) {
+        send(next, free.remove(0));
+      } else if (longCalls < mostLong) {
+        longCalls++;
+        send(next, free.remove(0));
+      } else {
+        held.add(next);
+        break;
+      }
+    }
+    waiting.addAll(held);
   }
 
-  private void answered(String vm, AdviceReply reply) {
-    if (!reply.answered()) {
-      busyUntil.put(vm, Math.max(freeAt(vm), clock.millis() + FAILED_PAUSE.toMillis()));
+  private List<String> free() {
+    long now = clock.millis();
+    List<String> free = new ArrayList<>();
+    for (String vm : vms.get()) {
+      boolean paused = pausedUntil.getOrDefault(vm, Long.MIN_VALUE) > now;
+      if (!paused && !calls.containsKey(vm)) {
+        free.add(vm);
+      }
     }
+    return free;
   }
 
-  private String next() {
-    return vms.get().stream().min(Comparator.comparingLong(this::freeAt)).orElse("");
+  private void send(Waiting next, String vm) {
+    Duration time = next.question.time().plus(OVERHEAD);
+    calls.put(vm, new Call(next.urgent(), clock.millis() + time.toMillis()));
+    var unused =
+        caller
+            .ask(vm, next.question.step(), next.question.workers(), time.plus(PATIENCE))
+            .subscribe(reply -> answered(vm, next, reply));
   }
 
-  private long freeAt(String vm) {
-    return Math.max(clock.millis(), busyUntil.getOrDefault(vm, 0L));
+  private void answered(String vm, Waiting call, AdviceReply reply) {
+    calls.remove(vm);
+    if (reply.answered()) {
+      pausedUntil.remove(vm);
+    } else {
+      pausedUntil.put(vm, clock.millis() + FAILED_PAUSE.toMillis());
+    }
+    call.emitter.onSuccess(reply);
+    look();
   }
 }
--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Approvals.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Approvals.java
@@ -85,7 +85,7 @@
     return queue.advice().isPresent()
         && step.adviceCalls == 0
         && now() >= step.adviceNotBeforeMillis
-        && ports.advice().open();
+        && ports.advice().open(queue.priority());
   }
 
   /** Tells whether a step may use a worker, though its ticket may have lapsed. */
@@ -112,7 +112,7 @@
     }
     AdviceRule rule = queue.advice().orElseThrow();
     for (int from = 0; from < workers.size(); from += WORKERS_PER_CALL) {
-      if (step.adviceCalls >= MOST_CALLS || !ports.advice().open()) {
+      if (step.adviceCalls >= MOST_CALLS || !ports.advice().open(queue.priority())) {
         return;
       }
       int to = Math.min(workers.size(), from + WORKERS_PER_CALL);
@@ -132,7 +132,14 @@
     var unused =
         ports
             .advice()
-            .ask(step.name, ids, rule)
+            .ask(
+                new Advice.Question(
+                    step.name,
+                    ids,
+                    rule,
+                    queue.priority(),
+                    step.latestStartMillis,
+                    () -> !cell.closed() && !step.job.state.ended() && step.anyWaiting()))
             .subscribe(reply -> advised(step, queue, lives, reply, asked));
   }
 
--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Cell.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Cell.java
@@ -548,6 +548,7 @@
     ticks++;
     ports.meter().timed("tick", this::lookAtWorkers);
     withdrawUnstored();
+    ports.advice().look();
     jobs.openOccurrences();
     if (ticks % 5 == 0) {
       ports.metrics().histogram("cell.free.permille").update(fleet.freeShare(false));
--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/CellPorts.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/CellPorts.java
@@ -28,7 +28,7 @@
     Term term,
     Journal journal,
     WorkerPort workers,
-    AdviceDesk advice,
+    Advice advice,
     Timers timers,
     InstantSource clock,
     InstantSource timeOfDay,
--- a/masticspread-cell/src/main/java/org/masticspread/cell/lead/Leadership.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/lead/Leadership.java
@@ -248,7 +248,9 @@
   }
 
   private Duration probeEvery() {
-    boolean close = suspicion.waits() || roster.rank(roster.others()) < CLOSE_WATCHERS;
+    boolean close =
+        suspicion.silentFor().compareTo(PROBE_EVERY) >= 0
+            || roster.rank(roster.others()) < CLOSE_WATCHERS;
     return close ? PROBE_EVERY : SELDOM_PROBE;
   }
 
