--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Cell.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Cell.java
@@ -12,6 +12,7 @@
 import org.masticspread.cell.journal.ProgressRecord;
 import org.masticspread.cell.policy.Admission;
 import org.masticspread.cell.policy.Placement;
+import org.masticspread.cell.policy.Shedding;
 import org.masticspread.cell.port.WorkerEntry;
 import org.masticspread.model.cell.CellConfig;
 import org.masticspread.model.cell.JobOrder;
@@ -74,6 +75,13 @@
   /** When a caller may come back that was refused since the store is away: callers wait 3 s. */
   private static final Duration STORE_RETRY = Duration.ofSeconds(1);
 
+  /**
+   * When a caller may come back that was refused since the leader is behind: a burst is over then.
+   */
+  private static final Duration BEHIND_RETRY = Duration.ofSeconds(1);
+
+  private static final Duration BEHIND_SPREAD = Duration.ofSeconds(3);
+
   /** How long a call waits for a configuration that its sender has already seen. */
   private static final Duration CONFIG_WAIT = Duration.ofMillis(40);
 
@@ -90,6 +98,7 @@
   private final Scheduler scheduler;
   private final Renewals renewals;
   private final Backlog backlog;
+  private final Shedding shedding = new Shedding();
   private CellConfig config;
   private boolean closed;
   private boolean paused;
@@ -396,6 +405,13 @@
     if (order.recurrence().timed() || order.steps().stream().anyMatch(StepSpec::lasting)) {
       return true;
     }
+    boolean gang = order.steps().stream().anyMatch(StepSpec::gang);
+    Duration behind = launcher.delay();
+    if (!shedding.admits(queue.name(), behind, gang)) {
+      ports.metrics().counter("refused.behind").inc();
+      refuse(order, reply, spread(order), "the leader is " + behind.toMillis() + " ms behind");
+      return false;
+    }
     Admission.Facts facts = backlog.facts(order, queue);
     Admission.Decision decision = Admission.decide(facts);
     if (decision.accepted()) {
@@ -430,6 +446,21 @@
     return false;
   }
 
+  /** Callers that are refused together come back one after the other. */
+  private static Duration spread(JobOrder order) {
+    int apart = Math.floorMod(order.id().hashCode(), (int) BEHIND_SPREAD.toMillis());
+    return BEHIND_RETRY.plusMillis(apart);
+  }
+
+  /**
+   * Returns how far this VM is behind with its own work.
+   *
+   * @return the time that its orders take beside that at the workers
+   */
+  public Duration behind() {
+    return launcher.delay();
+  }
+
   private void refuse(
       JobOrder order, Consumer<CellReply> reply, Duration retryAfter, String reason) {
     ports
--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Launcher.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Launcher.java
@@ -3,6 +3,7 @@
 import com.codahale.metrics.MetricRegistry;
 import java.time.Duration;
 import java.util.Locale;
+import org.masticspread.cell.policy.OwnDelay;
 import org.masticspread.cell.port.WorkerPort.OrderResult;
 import org.masticspread.cell.port.WorkerPort.Outcome;
 import org.masticspread.cell.port.WorkerPort.Start;
@@ -16,6 +17,7 @@
   private final CellPorts ports;
   private final Fleet fleet;
   private final Cell cell;
+  private final OwnDelay delay = new OwnDelay();
 
   Launcher(CellPorts ports, Fleet fleet, Cell cell) {
     this.ports = ports;
@@ -23,6 +25,11 @@
     this.cell = cell;
   }
 
+  /** Returns how far this VM is behind, by the answers to its starts. */
+  Duration delay() {
+    return delay.at(now());
+  }
+
   /** Books a run of a task. */
   Run book(Task task, Worker worker, long number) {
     Run run = new Run(task.name, number, worker, task.step.spec.booked(), task);
@@ -73,8 +80,18 @@
             now() - worker.heardMillis,
             "resumes",
             !task.checkpoint.isEmpty());
+    long sent = now();
     var unused =
-        ports.workers().start(worker.entry, order).subscribe(result -> settle(run, result));
+        ports
+            .workers()
+            .start(worker.entry, order)
+            .subscribe(
+                result -> {
+                  if (result.outcome() == Outcome.DONE) {
+                    delay.noted(Duration.ofMillis(now() - sent), now());
+                  }
+                  settle(run, result);
+                });
   }
 
   private void settle(Run run, OrderResult result) {
--- a/masticspread-cell/src/main/java/org/masticspread/cell/lead/Vm.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/lead/Vm.java
@@ -56,6 +56,9 @@
   /** A commit without an answer for so long; longer than on a store that is 50 times slower. */
   private static final Duration STORE_STALL = Duration.ofMillis(520);
 
+  /** A leader whose orders to workers take longer is slow itself. */
+  private static final Duration SELF_BEHIND = Duration.ofMillis(100);
+
   /** How often the leader looks at its commits. */
   private static final Duration WATCH_EVERY = Duration.ofMillis(100);
 
@@ -608,12 +611,14 @@
   /** Searches for a VM that reaches the store when this one, the leader, does not. */
   private void storeDoubtful() {
     long now = ports.clock().millis();
+    // A VM that is behind with all its work sees slow commits too; another would be no faster.
+    boolean behind = cell.map(c -> c.behind().compareTo(SELF_BEHIND) >= 0).orElse(false);
     boolean doubtful =
         journal
             .map(
                 j ->
                     j.failingFor().compareTo(STORE_DOUBT) >= 0
-                        || j.stalledFor().compareTo(STORE_STALL) >= 0)
+                        || (!behind && j.stalledFor().compareTo(STORE_STALL) >= 0))
             .orElse(false);
     if (!doubtful || now - searchedMillis < SEARCH_EVERY.toMillis()) {
       return;
