--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Cell.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Cell.java
@@ -405,14 +405,13 @@
     if (order.recurrence().timed() || order.steps().stream().anyMatch(StepSpec::lasting)) {
       return true;
     }
-    boolean gang = order.steps().stream().anyMatch(StepSpec::gang);
+    Admission.Facts facts = backlog.facts(order, queue);
     Duration behind = launcher.delay();
-    if (!shedding.admits(queue.name(), behind, gang)) {
+    if (!shedding.admits(queue.name(), behind, facts.objective().minus(facts.path()))) {
       ports.metrics().counter("refused.behind").inc();
       refuse(order, reply, spread(order), "the leader is " + behind.toMillis() + " ms behind");
       return false;
     }
-    Admission.Facts facts = backlog.facts(order, queue);
     Admission.Decision decision = Admission.decide(facts);
     if (decision.accepted()) {
       ports
--- a/masticspread-cell/src/main/java/org/masticspread/cell/policy/Shedding.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/policy/Shedding.java
@@ -8,23 +8,24 @@
  * Refuses a part of the jobs while the leader's own processor or link is behind, so that the others
  * are served in time.
  *
- * <p>Answers bursts on small VMs, where the leader and not the workers is the bottleneck: without
- * it all jobs are accepted and all are late. The part follows from the delay and falls with it; it
- * is taken evenly, so that no caller meets a row of refusals by chance. Gangs are refused last: the
- * leader's work for each of them is worth most.
+ * <p>Answers bursts on small VMs, where the leader and not the workers is the bottleneck: what has
+ * little time beside its work would all be accepted and all be late. The part follows from the
+ * delay and from the time that a job has, and falls with the delay; it is taken evenly, so that no
+ * caller meets a row of refusals by chance. Jobs with more time wait instead.
  */
 public final class Shedding {
-  /** Below this delay nothing is refused: a check has some 250 ms in all. */
-  private static final Duration BEGIN = Duration.ofMillis(80);
+  /** The steps of a job that each take the delay: accept, commit, advice, start, end. */
+  private static final int STEPS = 5;
 
-  /** From this delay on the largest part is refused. */
-  private static final Duration FULL = Duration.ofMillis(330);
+  /** Nothing is refused while the steps take less than this part of the time that a job has. */
+  private static final double BEGIN = 0.6;
+
+  /** From this part on the largest part is refused. */
+  private static final double FULL = 1.6;
 
   /** Some are accepted at any delay, since the delay is measured by what they do. */
   private static final double LARGEST_PART = 0.9;
 
-  private static final double PART_OF_GANGS = 0.5;
-
   /** What is owed to each queue: a job is accepted when it reaches 1. */
   private final Map<String, Double> owed = new HashMap<>();
 
@@ -32,12 +33,13 @@
    * Returns the part that is refused.
    *
    * @param delay how far the leader is behind
-   * @param gang whether the tasks of the job work only together
+   * @param spare the time that a job has beside its work
    * @return the part, from 0 to 1
    */
-  public static double part(Duration delay, boolean gang) {
-    double over = delay.minus(BEGIN).toMillis() / (double) FULL.minus(BEGIN).toMillis();
-    return Math.max(0, Math.min(1, over)) * LARGEST_PART * (gang ? PART_OF_GANGS : 1);
+  public static double part(Duration delay, Duration spare) {
+    double used = STEPS * delay.toMillis() / (double) Math.max(1, spare.toMillis());
+    double over = (used - BEGIN) / (FULL - BEGIN);
+    return Math.max(0, Math.min(1, over)) * LARGEST_PART;
   }
 
   /**
@@ -45,11 +47,11 @@
    *
    * @param queue its queue
    * @param delay how far the leader is behind
-   * @param gang whether its tasks work only together
+   * @param spare the time that the job has beside its work
    * @return whether to accept it
    */
-  public boolean admits(String queue, Duration delay, boolean gang) {
-    double part = part(delay, gang);
+  public boolean admits(String queue, Duration delay, Duration spare) {
+    double part = part(delay, spare);
     if (part <= 0) {
       owed.remove(queue);
       return true;
