--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Gangs.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Gangs.java
@@ -116,6 +116,8 @@
         launch(step, startable.get());
         return true;
       }
+      // The room is there: asking for tickets keeps no further room idle, whatever others keep.
+      approvals.ask(step, queue, lapsed);
     }
     if (!outlook.keep(plan, step.spec, queue)) {
       step.planned = List.of();
--- a/masticspread-cell/src/test/java/org/masticspread/cell/load/AdviceLoadTest.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/load/AdviceLoadTest.java
@@ -4,9 +4,12 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.stream.LongStream;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.masticspread.cell.engine.AdviceDesk;
+import org.masticspread.cell.testing.CellFixture.DeskFactory;
 
 /**
  * Urgent work beside a burst of gangs, whose questions use up the advisor.
@@ -15,31 +18,33 @@
  * to 670 ms behind calls of gangs, and a third of the checks were late for it.
  */
 class AdviceLoadTest {
-  private static LoadDay burstOfGangs(Deployment deployment, CellFixtureDesk desk) {
-    return new LoadDay(deployment, 1, desk.factory)
+  private static final int SEEDS = 3;
+
+  private static LoadDay burstOfGangs(Deployment deployment, long seed, DeskFactory desk) {
+    return new LoadDay(deployment, seed, desk)
         .play(Duration.ofSeconds(8), kind -> 1)
         .play(Duration.ofSeconds(4), kind -> kind.queue().equals("layouts") ? 1.8 : 1)
         .play(Duration.ofSeconds(6), kind -> 1)
         .end();
   }
 
-  private enum CellFixtureDesk {
-    FIRST_FREE((advisor, vms, time) -> new FirstFreeDesk(advisor, () -> vms, time)),
-    TODAY(
-        (advisor, vms, time) ->
-            new org.masticspread.cell.engine.AdviceDesk(advisor, () -> vms, time));
-
-    final org.masticspread.cell.testing.CellFixture.DeskFactory factory;
-
-    CellFixtureDesk(org.masticspread.cell.testing.CellFixture.DeskFactory factory) {
-      this.factory = factory;
-    }
+  private static List<LoadDay> days(Deployment deployment, DeskFactory desk) {
+    return LongStream.rangeClosed(1, SEEDS)
+        .mapToObj(seed -> burstOfGangs(deployment, seed, desk))
+        .toList();
   }
 
   private static long p90(List<Long> waits) {
     return waits.get(waits.size() * 9 / 10);
   }
 
+  private static double share(List<LoadDay> days, String queue) {
+    return days.stream()
+        .mapToDouble(day -> day.tallies().get(queue).share())
+        .average()
+        .orElseThrow();
+  }
+
   @Nested
   class BurstOfGangs {
     @ParameterizedTest
@@ -49,13 +54,15 @@
       Deployment deployment = Deployment.site(workers, vms, share);
 
       // WHEN
-      LoadDay before = burstOfGangs(deployment, CellFixtureDesk.FIRST_FREE);
-      LoadDay now = burstOfGangs(deployment, CellFixtureDesk.TODAY);
+      List<LoadDay> before =
+          days(deployment, (advisor, names, time) -> new FirstFreeDesk(advisor, () -> names, time));
+      List<LoadDay> now =
+          days(deployment, (advisor, names, time) -> new AdviceDesk(advisor, () -> names, time));
 
       // THEN
-      assertThat(p90(now.adviceWaits(0))).isLessThan(60);
-      assertThat(now.tallies().get("layouts").share())
-          .isGreaterThan(before.tallies().get("layouts").share() - 0.03);
+      assertThat(now).allSatisfy(day -> assertThat(p90(day.adviceWaits(0))).isLessThan(60));
+      assertThat(share(now, "checks")).isGreaterThan(share(before, "checks") - 0.03);
+      assertThat(share(now, "layouts")).isGreaterThan(share(before, "layouts") - 0.03);
     }
   }
 }
--- a/masticspread-cell/src/test/java/org/masticspread/cell/testing/Jobs.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/testing/Jobs.java
@@ -43,6 +43,27 @@
         0);
   }
 
+  /** Returns a step that may only use workers with a label, as the name of a rack. */
+  public static StepSpec labelled(StepSpec step, String label) {
+    return new StepSpec(
+        step.tasks(),
+        step.demand(),
+        step.estimate(),
+        step.after(),
+        step.checkpoints(),
+        step.gang(),
+        step.sameRack(),
+        label,
+        step.dataRack(),
+        step.mostPerWorker(),
+        step.speculative(),
+        step.lasting(),
+        step.image(),
+        step.tailTarget(),
+        step.fills(),
+        step.mostUnavailable());
+  }
+
   /** Returns a job of the queue {@code checks}. */
   public static JobOrder job(String id, StepSpec... steps) {
     return job(id, "checks", steps);
