--- a/masticspread-cell/src/test/java/org/masticspread/cell/lead/SuspicionTest.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/lead/SuspicionTest.java
@@ -98,7 +98,7 @@
   }
 
   @Nested
-  class InARow {
+  class ChangesInRow {
     @Test
     void should_wait_longer_with_each_change_of_the_leader() {
       // GIVEN
--- a/masticspread-cell/src/test/java/org/masticspread/cell/load/LoadDay.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/load/LoadDay.java
@@ -139,7 +139,7 @@
         };
     cluster.time.after(
         CALLER_PATIENCE, () -> once.accept(CellReply.of(CellReply.Outcome.UNCERTAIN, "no answer")));
-    cluster.call(vm, call, once);
+    cluster.send(vm, call, once);
   }
 
   /** What is played against: a clock, its workers, and where callers call. */
--- a/masticspread-cell/src/test/java/org/masticspread/cell/testing/CellFixture.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/testing/CellFixture.java
@@ -83,10 +83,6 @@
     this(config, advisor, vms, CellFixture::newDesk);
   }
 
-  private static Advice newDesk(Advice.Caller advisor, List<String> vms, VirtualTime time) {
-    return new AdviceDesk(advisor, () -> vms, time);
-  }
-
   /** Creates a fixture whose advisor is asked by way of another desk. */
   public CellFixture(
       CellConfig config, AdvisorFactory advisor, List<String> vms, DeskFactory desk) {
@@ -96,6 +92,10 @@
     this.advisor = advisor.on(time);
   }
 
+  private static Advice newDesk(Advice.Caller advisor, List<String> vms, VirtualTime time) {
+    return new AdviceDesk(advisor, () -> vms, time);
+  }
+
   /** Makes an advisor that takes its time from a clock. */
   @FunctionalInterface
   public interface AdvisorFactory {
--- a/masticspread-cell/src/test/java/org/masticspread/cell/testing/VmCluster.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/testing/VmCluster.java
@@ -115,7 +115,7 @@
             new Store(name, life, queues),
             new Workers(queues),
             (step, ids, timeout) -> advisor.ask(name, step, ids, timeout),
-            (to, message, timeout) -> call(name, life, to, message, timeout),
+            (to, message, timeout) -> callPeer(name, life, to, message, timeout),
             new VmPorts.Source<>("servers", Foreign.PART, row -> entry(row.key())),
             new VmPorts.Source<>("op", Foreign.PART, row -> Optional.of(config)),
             (delay, action) ->
@@ -216,12 +216,12 @@
   /** Sends a call of a caller to a VM; the list gets the answer when it comes. */
   public List<CellReply> call(String name, Action action, String job, JobOrder order) {
     List<CellReply> replies = new ArrayList<>();
-    call(name, new CellCall(action, "checks", 1, job, order), replies::add);
+    send(name, new CellCall(action, "checks", 1, job, order), replies::add);
     return replies;
   }
 
   /** Sends a call of a caller to a VM. A VM that does not run answers nothing. */
-  public void call(String name, CellCall call, Consumer<CellReply> reply) {
+  public void send(String name, CellCall call, Consumer<CellReply> reply) {
     Member member = members.get(name);
     if (member.gateway == null) {
       return;
@@ -246,7 +246,7 @@
     return FRAME_BYTES + Rows.encode(message).length;
   }
 
-  private CompletableFuture<PeerMessage> call(
+  private CompletableFuture<PeerMessage> callPeer(
       String from, String life, VmId to, PeerMessage message, Duration timeout) {
     CompletableFuture<PeerMessage> answer = new CompletableFuture<>();
     Member target = members.get(to.value());
@@ -360,13 +360,13 @@
         });
   }
 
-  private static int sizeOf(TableCommit commit) {
+  private static int sizeOfCommit(TableCommit commit) {
     int values = commit.puts().stream().mapToInt(put -> put.value().length * 4 / 3).sum();
     int rows = commit.puts().size() + commit.removals().size() + commit.expected().size();
     return CALL_BYTES + ROW_BYTES * rows + values;
   }
 
-  private static int sizeOf(RowPage page) {
+  private static int sizeOfPage(RowPage page) {
     return ANSWER_BYTES
         + page.rows().stream().mapToInt(row -> ROW_BYTES + row.value().length * 4 / 3).sum();
   }
@@ -394,7 +394,8 @@
     @Override
     public Single<CommitResult> commit(TableCommit commit) {
       if (reached()) {
-        return over(queues, sizeOf(commit), () -> table.commit(commit), result -> ANSWER_BYTES);
+        return over(
+            queues, sizeOfCommit(commit), () -> table.commit(commit), result -> ANSWER_BYTES);
       }
       return Single.create(
           emitter ->
@@ -406,14 +407,15 @@
     @Override
     public Single<RowPage> read(String name, String part, String from, int limit) {
       return reached()
-          ? over(queues, CALL_BYTES, () -> table.read(name, part, from, limit), VmCluster::sizeOf)
+          ? over(
+              queues, CALL_BYTES, () -> table.read(name, part, from, limit), VmCluster::sizeOfPage)
           : lost();
     }
 
     @Override
     public Single<RowPage> follow(String name, long after, Duration wait) {
       return reached()
-          ? over(queues, CALL_BYTES, () -> table.follow(name, after, wait), VmCluster::sizeOf)
+          ? over(queues, CALL_BYTES, () -> table.follow(name, after, wait), VmCluster::sizeOfPage)
           : lost();
     }
 
--- a/masticspread-wire/src/main/java/org/masticspread/wire/internal/Target.java
+++ b/masticspread-wire/src/main/java/org/masticspread/wire/internal/Target.java
@@ -167,13 +167,13 @@
     connect.addListener(
         done -> {
           if (!done.isSuccess()) {
-            failed(String.valueOf(done.cause().getMessage()), refused(done.cause()));
+            failed(String.valueOf(done.cause().getMessage()), nobodyListens(done.cause()));
           }
         });
   }
 
   /** A time-out is reported as a kind of refusal, but says nothing about the peer's process. */
-  private static boolean refused(Throwable cause) {
+  private static boolean nobodyListens(Throwable cause) {
     return cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException);
   }
 
