--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Cell.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Cell.java
@@ -597,9 +597,9 @@
     passMillis += PASS_WEIGHT * (now() - begun - passMillis);
   }
 
-  private Duration pause() {
-    Duration rest = Duration.ofMillis((long) (PASS_REST * passMillis));
-    Duration bounded = rest.compareTo(LONGEST_REST) > 0 ? LONGEST_REST : rest;
+  private Duration rest() {
+    Duration wanted = Duration.ofMillis((long) (PASS_REST * passMillis));
+    Duration bounded = wanted.compareTo(LONGEST_REST) > 0 ? LONGEST_REST : wanted;
     return PASS_DELAY.plus(PASS_PER_WORKER.multipliedBy(fleet.all().size())).plus(bounded);
   }
 
@@ -619,7 +619,7 @@
     ports
         .timers()
         .after(
-            pause(),
+            rest(),
             () -> {
               passScheduled = false;
               if (!closed && !paused) {
--- a/masticspread-cell/src/main/java/org/masticspread/cell/gateway/LeaderLine.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/gateway/LeaderLine.java
@@ -147,7 +147,7 @@
   private void send(Trip trip, LeaderRecord record) {
     long now = ports.clock().millis();
     Duration slow = vm.slowAnswer().multipliedBy(2).plus(ATTEMPT);
-    long timeout = Math.max(1, Math.min(trip.patience(now), slow.toMillis()));
+    final long timeout = Math.max(1, Math.min(trip.patience(now), slow.toMillis()));
     Flight flight = new Flight(trip, now);
     flights.add(flight);
     window.sent();
--- a/masticspread-cell/src/main/java/org/masticspread/cell/lead/Leadership.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/lead/Leadership.java
@@ -314,7 +314,7 @@
       progress = status.progress();
       progressedMillis = now;
     }
-    boolean began = status.serving() && !serving;
+    final boolean began = status.serving() && !serving;
     serving = status.serving() && status.leading();
     tellOpinions(true);
     if (status.leading() && !status.stopping()) {
