Calls behind others that wait for the store are refused at once

Cause, by reading: while the store is silent the calls on their way fill a VM's window, and those behind them waited 1.4 s for a leader that would have refused them at once. What waits is expected to wait at least as long as the oldest call on its way. The test failed before.

--- a/masticspread-cell/src/main/java/org/masticspread/cell/gateway/LeaderLine.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/gateway/LeaderLine.java
@@ -69,17 +69,30 @@
 
   /** Lets a call wait for its turn. */
   void add(Trip trip) {
-    Duration wait = window.waitBehind(waiting.size());
-    boolean crowded =
-        vm.leaderServes() ? wait.compareTo(LONGEST_WAIT) > 0 : waiting.size() >= MOST_WAITING;
+    boolean crowded = vm.leaderServes() ? expectedWait().compareTo(LONGEST_WAIT) > 0 : full();
     if (crowded && !trip.mayHaveEffect()) {
-      owner.crowded(trip, wait);
+      owner.crowded(trip, expectedWait());
       return;
     }
     waiting.add(trip);
     pump();
   }
 
+  private boolean full() {
+    return waiting.size() >= MOST_WAITING;
+  }
+
+  /** Returns how long a call would wait: at least as long as those before it have waited. */
+  private Duration expectedWait() {
+    if (window.open()) {
+      return Duration.ZERO;
+    }
+    long now = ports.clock().millis();
+    long oldest = flights.stream().mapToLong(flight -> now - flight.sentMillis).max().orElse(0);
+    Duration behind = window.waitBehind(waiting.size());
+    return behind.toMillis() > oldest ? behind : Duration.ofMillis(oldest);
+  }
+
   /** Sends what may be sent. */
   void pump() {
     changed();
@@ -142,6 +155,12 @@
     List<Trip> late = waiting.stream().filter(trip -> trip.left(now) <= 0).toList();
     waiting.removeAll(late);
     late.forEach(owner::expired);
+    Duration wait = expectedWait();
+    if (vm.leaderServes() && wait.compareTo(LONGEST_WAIT) > 0) {
+      List<Trip> stuck = waiting.stream().filter(trip -> !trip.mayHaveEffect()).toList();
+      waiting.removeAll(stuck);
+      stuck.forEach(trip -> owner.crowded(trip, wait));
+    }
   }
 
   private void send(Trip trip, LeaderRecord record) {
--- a/masticspread-cell/src/test/java/org/masticspread/cell/lead/VmTest.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/lead/VmTest.java
@@ -88,6 +88,31 @@
     assertThat(succeeded.size()).isGreaterThanOrEqualTo((int) (2 * accepted(replies)));
   }
 
+  @Nested
+  class StoreSilent {
+    /** Answers the outage of the store on trouble-3 of the users' large site. */
+    @Test
+    void should_refuse_at_once_behind_calls_that_wait_for_the_store() {
+      // GIVEN as many calls as a VM sends at once, none of which can be stored
+      cluster.table.always(Fate.SILENT);
+      for (int i = 0; i < 20; i++) {
+        String id = "early" + i;
+        cluster.call("vm-1", Action.SUBMIT, id, job(id, 100));
+      }
+      pass(600);
+
+      // WHEN
+      List<CellReply> replies = cluster.call("vm-1", Action.SUBMIT, "late", job("late", 100));
+      pass(100);
+
+      // THEN
+      assertThat(replies).extracting(CellReply::outcome).containsExactly(Outcome.REFUSED);
+      cluster.table.always(Fate.DONE);
+      pass(5000);
+      assertThat(cluster.workers.succeeded()).noneMatch(task -> task.startsWith("late"));
+    }
+  }
+
   @Nested
   class Start {
     @Test
