--- a/masticspread-cell/src/main/java/org/masticspread/cell/lead/Suspicion.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/lead/Suspicion.java
@@ -114,11 +114,6 @@
         .orElse(Duration.ZERO);
   }
 
-  /** Tells whether a probe has no answer. */
-  boolean waits() {
-    return waitsSinceMillis.isPresent();
-  }
-
   boolean heardWithin(Duration time) {
     return clock.millis() - heardMillis <= time.toMillis();
   }
