The log tells why a gang has not started

Each pass counts a reason; twice a second at most a line per gang gives it with the free places, and those that no other gang keeps. No decision changes.

--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Gangs.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Gangs.java
@@ -1,12 +1,15 @@
 package org.masticspread.cell.engine;
 
+import com.codahale.metrics.MetricRegistry;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Locale;
 import java.util.Optional;
 import org.masticspread.cell.policy.Forecast;
 import org.masticspread.cell.policy.GangPlan;
+import org.masticspread.cell.policy.Placement;
 import org.masticspread.cell.policy.Room;
 import org.masticspread.model.cell.QueueRule;
 
@@ -30,9 +33,26 @@
   /** A gang that would wait longer than this asks about further workers. */
   private static final Duration LONG_WAIT = Duration.ofMillis(800);
 
+  /** Between two lines of the log that tell why the same gang has not started. */
+  private static final Duration HOLD_TOLD_EVERY = Duration.ofMillis(500);
+
   /** Members of a broken gang end by themselves sooner than this. */
   private static final Duration PARTIAL = Duration.ofMillis(600);
 
+  /** Why a gang has not started in a pass. */
+  private enum Hold {
+    /** Too few of the workers that it may use, by what is known, would ever have room for it. */
+    TOO_FEW_APPROVED,
+    /** Its workers have no room yet; their room is kept for it. */
+    ROOM_LATER,
+    /** Its workers have no room yet, and their room is not kept: others keep too much idle. */
+    ROOM_LATER_NOT_KEPT,
+    /** It has room now, and some of its tickets have lapsed. */
+    TICKETS_LAPSED,
+    /** As before, and the room is not kept until the tickets are there. */
+    TICKETS_LAPSED_NOT_KEPT
+  }
+
   private final CellPorts ports;
   private final Cell cell;
   private final Launcher launcher;
@@ -64,6 +84,15 @@
     Optional<GangPlan> best = GangPlan.find(gang, usable, outlook.nowMillis());
     if (best.isEmpty()) {
       step.planned = List.of();
+      hold(
+          step,
+          queue,
+          Hold.TOO_FEW_APPROVED,
+          outlook,
+          "usable",
+          usable.size(),
+          "unasked",
+          unknown.size());
       askMore(step, queue, outlook, unknown);
       return;
     }
@@ -109,7 +138,8 @@
   private boolean follow(
       Step step, QueueRule queue, GangPlan plan, GangPlan.Gang gang, Outlook outlook) {
     List<Worker> lapsed = withoutTicket(step, queue, plan);
-    if (plan.startMillis() <= outlook.nowMillis()) {
+    boolean roomNow = plan.startMillis() <= outlook.nowMillis();
+    if (roomNow) {
       Optional<GangPlan> startable =
           lapsed.isEmpty() ? Optional.of(plan) : startNow(gang, step, queue, outlook);
       if (startable.isPresent()) {
@@ -119,7 +149,23 @@
       // The room is there: asking for tickets keeps no further room idle, whatever others keep.
       approvals.ask(step, queue, lapsed);
     }
-    if (!outlook.keep(plan, step.spec, queue)) {
+    boolean kept = outlook.keep(plan, step.spec, queue);
+    Hold reason =
+        roomNow
+            ? (kept ? Hold.TICKETS_LAPSED : Hold.TICKETS_LAPSED_NOT_KEPT)
+            : (kept ? Hold.ROOM_LATER : Hold.ROOM_LATER_NOT_KEPT);
+    hold(
+        step,
+        queue,
+        reason,
+        outlook,
+        "startsInMs",
+        plan.startMillis() - outlook.nowMillis(),
+        "workers",
+        plan.workers().size(),
+        "withoutTicket",
+        lapsed.size());
+    if (!kept) {
       step.planned = List.of();
       return false;
     }
@@ -143,6 +189,30 @@
     return false;
   }
 
+  /** Counts and tells why a gang has not started. */
+  private void hold(Step step, QueueRule queue, Hold reason, Outlook outlook, Object... facts) {
+    String name = reason.name().toLowerCase(Locale.ROOT);
+    ports.metrics().counter(MetricRegistry.name("gang.holds", name)).inc();
+    long now = outlook.nowMillis();
+    if (now - step.holdToldMillis < HOLD_TOLD_EVERY.toMillis()) {
+      return;
+    }
+    step.holdToldMillis = now;
+    int free = 0;
+    int unreserved = 0;
+    for (Forecast forecast : usable(step, queue, outlook, new ArrayList<>())) {
+      free += Placement.slots(forecast.room(), step.spec, step.name);
+      unreserved += forecast.slotsAt(step.spec, step.name, now);
+    }
+    List<Object> told = new ArrayList<>(List.of("reason", name));
+    told.addAll(List.of("readyForMs", now - step.readyAtMillis));
+    told.addAll(List.of("lateMs", now - step.latestStartMillis));
+    told.addAll(List.of("adviceCalls", step.adviceCalls, "tasks", step.tasks.size()));
+    told.addAll(List.of("placesFree", free, "placesUnreserved", unreserved));
+    told.addAll(List.of(facts));
+    ports.log().event("gang-holds", step.name, told.toArray());
+  }
+
   /** Finds room for now among the workers whose tickets hold. */
   private Optional<GangPlan> startNow(
       GangPlan.Gang gang, Step step, QueueRule queue, Outlook outlook) {
--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Step.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Step.java
@@ -45,6 +45,9 @@
   /** When the gang looks at all workers again. */
   long searchAgainMillis;
 
+  /** When the log last told why the gang has not started. */
+  long holdToldMillis = Long.MIN_VALUE / 2;
+
   /** How many tasks have neither succeeded nor a run, and how many have a run. */
   private int waiting;
 
--- a/masticspread-cell/src/test/java/org/masticspread/cell/engine/GangAdviceTest.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/engine/GangAdviceTest.java
@@ -82,6 +82,28 @@
     fixture.accept(Jobs.job(id, "layouts", step));
   }
 
+  @Nested
+  class Log {
+    @Test
+    void should_tell_why_a_gang_has_not_started() {
+      // GIVEN
+      occupy("long", 3, "r2", Duration.ofSeconds(5));
+
+      // WHEN
+      gang("small", 2, Duration.ofSeconds(1));
+      pass(1000);
+
+      // THEN
+      assertThat(fixture.events)
+          .anySatisfy(
+              line ->
+                  assertThat(line)
+                      .startsWith("gang-holds small.0.0")
+                      .contains("reason, room_later", "tasks, 2", "placesFree, 1"));
+      assertThat(fixture.metrics.counter("gang.holds.room_later").getCount()).isPositive();
+    }
+  }
+
   @Nested
   class LapsedTickets {
     /**
