--- a/masticspread-cell/src/test/java/org/masticspread/cell/load/Deployment.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/load/Deployment.java
@@ -79,10 +79,15 @@
   }
 
   private static AdviceRule advice(double decisionMillis, double perWorkerMillis) {
+    return advice(decisionMillis, perWorkerMillis, 2000);
+  }
+
+  private static AdviceRule advice(
+      double decisionMillis, double perWorkerMillis, int validityMillis) {
     return new AdviceRule(
         Duration.ofNanos((long) (decisionMillis * 1e6)),
         Duration.ofNanos((long) (perWorkerMillis * 1e6)),
-        Duration.ofSeconds(2));
+        Duration.ofMillis(validityMillis));
   }
 
   /** Returns a deployment of large workers, where checks, batches and gangs need most of them. */
@@ -264,4 +269,64 @@
                 0.3,
                 250)));
   }
+
+  /** Returns the load of the users' grown site with small workers and slow advice. */
+  static Deployment grown(double share) {
+    return new Deployment(
+        246,
+        16_000,
+        45,
+        List.of(
+            new Kind(
+                "checks",
+                0,
+                77 * share,
+                3.2,
+                19,
+                1,
+                800,
+                2500,
+                0.9,
+                0.3,
+                1.5,
+                Duration.ofMillis(250),
+                0.39,
+                advice(11.7, 0.169, 1500),
+                0.7,
+                75),
+            new Kind(
+                "batches",
+                2,
+                5.52 * share,
+                25,
+                150,
+                1.5,
+                3400,
+                1700,
+                0.9,
+                0,
+                4,
+                Duration.ofSeconds(3),
+                3.9,
+                advice(156, 2.34, 1500),
+                0.45,
+                75),
+            new Kind(
+                "layouts",
+                1,
+                2.63 * share,
+                20,
+                120,
+                1.2,
+                6200,
+                4500,
+                0.9,
+                1,
+                2.2,
+                Duration.ofSeconds(1),
+                13.1,
+                advice(715, 10.14, 1500),
+                0.3,
+                75)));
+  }
 }
--- a/masticspread-cell/src/test/java/org/masticspread/cell/load/LoadDay.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/load/LoadDay.java
@@ -59,6 +59,7 @@
   private final Map<Integer, List<Long>> adviceWaits = new HashMap<>();
   private long adviceMillis;
   private int jobs;
+  private StandingWork standing;
 
   /** What became of the jobs of a kind. */
   static final class Tally {
@@ -152,6 +153,26 @@
           i % 4 == 0 ? 0.55 : 1.2;
     }
     deployment.kinds().forEach(kind -> tallies.put(kind.queue(), new Tally()));
+    standing =
+        new StandingWork(
+            target.workers, (step, worker) -> approves(kinds.get(jobOf(step)), step, worker));
+    watchStanding();
+  }
+
+  private void watchStanding() {
+    List<JobOrder> open =
+        callers.stream().filter(c -> c.accepted && !c.ended).map(c -> c.order).toList();
+    standing.look(open, now());
+    target.time.after(LOOK_EVERY, this::watchStanding);
+  }
+
+  private static String jobOf(String step) {
+    return step.substring(0, step.indexOf('.'));
+  }
+
+  /** Returns what is known of jobs that stood still with room free. */
+  StandingWork standing() {
+    return standing;
   }
 
   /** Returns how long questions to the advisor waited beside the time of their call, sorted. */
@@ -421,12 +442,14 @@
           emitter ->
               time.after(
                   Duration.ofMillis(done + 2 - time.millis()),
-                  () -> emitter.onSuccess(new AdviceReply(true, tickets, 2000))));
+                  () ->
+                      emitter.onSuccess(
+                          new AdviceReply(
+                              true, tickets, (int) kind.advice().validity().toMillis()))));
     }
 
     private Kind kindOf(String step) {
-      String job = step.substring(0, step.indexOf('.'));
-      return kinds.get(job);
+      return kinds.get(jobOf(step));
     }
   }
 }
--- a/masticspread-cell/src/test/java/org/masticspread/cell/testing/FakeWorkers.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/testing/FakeWorkers.java
@@ -158,6 +158,38 @@
     return List.copyOf(succeeded);
   }
 
+  /** Tells whether a task succeeded. */
+  public boolean hasSucceeded(String task) {
+    return succeeded.contains(task);
+  }
+
+  /** Tells whether a task runs anywhere. */
+  public boolean runs(String task) {
+    return !places.getOrDefault(task, List.of()).isEmpty();
+  }
+
+  /** Counts how many tasks of a demand have room on a worker beside what runs there. */
+  public int slots(String id, ResourceVector demand) {
+    State state = workers.get(id);
+    return (int)
+        Math.max(0, (state.entry.capacity().millicores() - inUse(state)) / demand.millicores());
+  }
+
+  /** Returns the part of all cores that is in use. */
+  public double shareInUse() {
+    double capacity = 0;
+    double used = 0;
+    for (State state : workers.values()) {
+      capacity += state.entry.capacity().millicores();
+      used += inUse(state);
+    }
+    return used / capacity;
+  }
+
+  private long inUse(State state) {
+    return state.running.keySet().stream().mapToLong(this::demand).sum();
+  }
+
   /** Ends the process of a worker and starts it anew. */
   public void restart(String id) {
     State state = workers.get(id);
