A gang asks for all its tickets in one question, so that they hold together

Cause: a gang asked only for the tickets that had lapsed, and for more than 30 workers in several questions. A call takes half as long as a ticket holds or more (0.75 of 1.5 s), so the tickets lapsed in turn, and at no moment did all hold. Class of fault: several leases acquired one after another, none of which outlasts the acquisition of all. GangTicketTest failed before: expected 1 start but was 0 (70 workers, three questions in turn); questions named 1 of 3 workers.

--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Approvals.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Approvals.java
@@ -21,6 +21,9 @@
   /** Workers named in one call: the objective of a job counts one call on so many for each step. */
   static final int WORKERS_PER_CALL = 30;
 
+  /** The advisor takes at most so many workers in a call. */
+  static final int MOST_WORKERS_PER_CALL = 100;
+
   /** Calls for one step at the same time, each from another VM. */
   private static final int MOST_CALLS = 6;
 
@@ -107,15 +110,27 @@
 
   /** Asks about workers, unless calls for the step are on their way. */
   void ask(Step step, QueueRule queue, List<Worker> workers) {
+    ask(step, queue, workers, WORKERS_PER_CALL);
+  }
+
+  /**
+   * Asks for the tickets of all workers of a plan in one question, so that they hold together.
+   * Those that still hold are asked for too: they might lapse before the answer.
+   */
+  void askForTickets(Step step, QueueRule queue, List<Worker> workers) {
+    ask(step, queue, workers, MOST_WORKERS_PER_CALL);
+  }
+
+  private void ask(Step step, QueueRule queue, List<Worker> workers, int perCall) {
     if (step.adviceCalls > 0 || now() < step.adviceNotBeforeMillis) {
       return;
     }
     AdviceRule rule = queue.advice().orElseThrow();
-    for (int from = 0; from < workers.size(); from += WORKERS_PER_CALL) {
+    for (int from = 0; from < workers.size(); from += perCall) {
       if (step.adviceCalls >= MOST_CALLS || !ports.advice().open(queue.priority())) {
         return;
       }
-      int to = Math.min(workers.size(), from + WORKERS_PER_CALL);
+      int to = Math.min(workers.size(), from + perCall);
       call(step, queue, workers.subList(from, to), rule);
     }
   }
--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Gangs.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Gangs.java
@@ -147,7 +147,7 @@
         return true;
       }
       // The room is there: asking for tickets keeps no further room idle, whatever others keep.
-      approvals.ask(step, queue, lapsed);
+      approvals.askForTickets(step, queue, workersOf(plan));
     }
     boolean kept = outlook.keep(plan, step.spec, queue);
     Hold reason =
@@ -169,7 +169,7 @@
       step.planned = List.of();
       return false;
     }
-    List<Worker> workers = plan.workers().stream().map(Worker.class::cast).toList();
+    List<Worker> workers = workersOf(plan);
     if (step.planned.isEmpty()) {
       ports
           .log()
@@ -240,12 +240,17 @@
     if (lapsed.isEmpty()) {
       return;
     }
-    long call = queue.advice().orElseThrow().callTime(lapsed.size()).toMillis();
+    List<Worker> workers = workersOf(plan);
+    long call = queue.advice().orElseThrow().callTime(workers.size()).toMillis();
     if (plan.startMillis() - outlook.nowMillis() <= call + WORTH_CHANGING.toMillis()) {
-      approvals.ask(step, queue, lapsed);
+      approvals.askForTickets(step, queue, workers);
     }
   }
 
+  private static List<Worker> workersOf(GangPlan plan) {
+    return plan.workers().stream().map(Worker.class::cast).toList();
+  }
+
   /** Asks about the workers that have room for most tasks by the time of the answer. */
   private void askMore(Step step, QueueRule queue, Outlook outlook, List<Worker> unknown) {
     if (unknown.isEmpty() || queue.advice().isEmpty() || step.adviceCalls > 0) {
--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Scheduler.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Scheduler.java
@@ -18,9 +18,6 @@
   /** Expected run times change slowly. */
   private static final Duration LATEST_START_KEPT = Duration.ofSeconds(1);
 
-  /** The advisor takes at most so many workers in a call. */
-  private static final int MOST_WORKERS_ASKED = 100;
-
   /** Workers asked about for each waiting task, and in any case: some are not approved. */
   private static final int ASKED_PER_TASK = 3;
 
@@ -180,7 +177,8 @@
     Map<Worker, Double> slowdowns = new HashMap<>();
     open.forEach(worker -> slowdowns.put(worker, cell.slowdown(worker, step.spec)));
     open.sort(Comparator.comparingDouble(slowdowns::get));
-    int most = Math.min(MOST_WORKERS_ASKED, Math.max(ASKED_AT_LEAST, tasks * ASKED_PER_TASK));
+    int most =
+        Math.min(Approvals.MOST_WORKERS_PER_CALL, Math.max(ASKED_AT_LEAST, tasks * ASKED_PER_TASK));
     if (!open.isEmpty()) {
       approvals.ask(step, next.queue, open.subList(0, Math.min(most, open.size())));
     }
--- /dev/null
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/engine/GangTicketTest.java
@@ -0,0 +1,118 @@
+package org.masticspread.cell.engine;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.reactivex.rxjava3.core.Single;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.masticspread.cell.testing.CellFixture;
+import org.masticspread.cell.testing.Jobs;
+import org.masticspread.cell.testing.VirtualTime;
+import org.masticspread.model.cell.AdviceRule;
+import org.masticspread.model.peer.AdviceReply;
+import org.masticspread.model.resource.ResourceVector;
+
+/** Gangs whose calls to the advisor take about half as long as its tickets hold. */
+class GangTicketTest {
+  private static final AdviceRule RULE =
+      new AdviceRule(Duration.ofMillis(700), Duration.ofMillis(10), Duration.ofMillis(1500));
+
+  private static final int MILLICORES = 4000;
+
+  private final CellFixture fixture =
+      new CellFixture(
+          Jobs.config(
+              Jobs.queue("checks", 0, Optional.empty()),
+              Jobs.queue("layouts", 1, Optional.of(RULE))),
+          GangTicketTest::oneCallAtATime,
+          List.of("vm-1"));
+
+  private static Advice.Caller oneCallAtATime(VirtualTime time) {
+    long[] freeAt = {0};
+    return (vm, step, ids, timeout) -> {
+      freeAt[0] = Math.max(time.millis(), freeAt[0]) + RULE.callTime(ids.size()).toMillis();
+      List<AdviceReply.Ticket> tickets =
+          ids.stream().map(id -> new AdviceReply.Ticket(id, "t")).toList();
+      AdviceReply reply = new AdviceReply(true, tickets, (int) RULE.validity().toMillis());
+      Duration wait = Duration.ofMillis(freeAt[0] - time.millis());
+      return Single.create(emitter -> time.after(wait, () -> emitter.onSuccess(reply)));
+    };
+  }
+
+  private void lead(int workers) {
+    for (int i = 1; i <= workers; i++) {
+      fixture.workers.add("w" + i, "r" + i, MILLICORES);
+    }
+    fixture.lead();
+    pass(50);
+  }
+
+  private void pass(long millis) {
+    fixture.time.pass(Duration.ofMillis(millis));
+  }
+
+  private void occupy(String worker, Duration runs) {
+    String id = "busy-" + worker;
+    fixture.workers.describe(id, new ResourceVector(MILLICORES, 1024, 0), runs);
+    fixture.accept(
+        Jobs.job(id, Jobs.labelled(Jobs.step(1, MILLICORES, runs, false), "r" + worker)));
+  }
+
+  private void gang(String id, int tasks) {
+    Duration runs = Duration.ofSeconds(10);
+    fixture.workers.describe(id, new ResourceVector(MILLICORES, 1024, 0), runs);
+    fixture.workers.describeGang(id + ".0.0", tasks);
+    fixture.accept(Jobs.job(id, "layouts", Jobs.step(tasks, MILLICORES, runs, true)));
+  }
+
+  @AfterEach
+  void should_never_break_a_promise() {
+    assertThat(fixture.workers.violations()).isEmpty();
+  }
+
+  @Nested
+  class LapseInTurn {
+    @Test
+    void should_start_a_gang_on_more_workers_than_a_question_names() {
+      // GIVEN room that comes after the first tickets have lapsed
+      lead(70);
+      for (int i = 1; i <= 70; i++) {
+        occupy("" + i, Duration.ofSeconds(8));
+      }
+
+      // WHEN
+      gang("wide", 70);
+      pass(8000 + 3000);
+
+      // THEN
+      assertThat(fixture.startsOf("wide.0.0.0")).isEqualTo(1);
+    }
+
+    @Test
+    void should_ask_for_all_tickets_of_a_plan_in_one_question() {
+      // GIVEN a gang of which two workers lost their tickets, one after the other
+      lead(3);
+      occupy("1", Duration.ofMillis(7000));
+      gang("mixed", 3);
+      pass(6500);
+      fixture.workers.restart("w2");
+      pass(750);
+      fixture.workers.restart("w3");
+      pass(1000);
+      fixture.events.clear();
+
+      // WHEN
+      pass(2000);
+
+      // THEN
+      assertThat(fixture.events)
+          .filteredOn(line -> line.startsWith("step-advice mixed.0.0"))
+          .isNotEmpty()
+          .allMatch(line -> line.contains("asked, 3"));
+    }
+  }
+}
