A gang whose room keeps being late asks about further workers

Cause: further workers were asked about only if the next plan started in over 0.8 s. A plan that says 'in 0.4 s' at each pass, since what runs there takes longer than expected, never asked. Class of fault: a time-out measured anew from each forecast instead of from the begin of the wait. GangTicketTest.LateRoom failed before (expected 1 start but was 0, startsInMs 46 to 712 for 5 s).

--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Gangs.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Gangs.java
@@ -30,7 +30,7 @@
   /** Between two searches among all workers; in between a gang keeps to those of its plan. */
   private static final Duration SEARCH_EVERY = Duration.ofMillis(100);
 
-  /** A gang that would wait longer than this asks about further workers. */
+  /** A gang that waits longer than this in all asks about further workers. */
   private static final Duration LONG_WAIT = Duration.ofMillis(800);
 
   /** Between two lines of the log that tell why the same gang has not started. */
@@ -99,7 +99,10 @@
     long limit = best.get().endMillis() + WORTH_CHANGING.toMillis();
     GangPlan plan = kept.filter(k -> k.endMillis() <= limit).orElse(best.get());
     boolean started = follow(step, queue, plan, gang, outlook);
-    if (!started && plan.startMillis() - outlook.nowMillis() > LONG_WAIT.toMillis()) {
+    if (step.plannedSinceMillis < 0) {
+      step.plannedSinceMillis = outlook.nowMillis();
+    }
+    if (!started && plan.startMillis() - step.plannedSinceMillis > LONG_WAIT.toMillis()) {
       askMore(step, queue, outlook, unknown);
     }
   }
--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Step.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Step.java
@@ -42,6 +42,9 @@
   /** The workers that a gang waits for. */
   List<Worker> planned = List.of();
 
+  /** Since when the gang has had a plan; negative before. */
+  long plannedSinceMillis = -1;
+
   /** When the gang looks at all workers again. */
   long searchAgainMillis;
 
--- a/masticspread-cell/src/test/java/org/masticspread/cell/engine/GangTicketTest.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/engine/GangTicketTest.java
@@ -116,4 +116,25 @@
       assertThat(fixture.startsOf("mixed.0.0.0")).isEqualTo(1);
     }
   }
+
+  @Nested
+  class LateRoom {
+    @Test
+    void should_ask_about_further_workers_when_the_room_of_a_plan_never_comes() {
+      // GIVEN workers that are busy for longer than estimated, and two that are free early
+      lead(14);
+      for (int i = 1; i <= 12; i++) {
+        occupy("" + i, Duration.ofSeconds(1), Duration.ofSeconds(60));
+      }
+      occupy("13", Duration.ofSeconds(30), Duration.ofSeconds(3));
+      occupy("14", Duration.ofSeconds(30), Duration.ofSeconds(3));
+
+      // WHEN
+      gang("late", 2);
+      pass(3000 + 3000);
+
+      // THEN
+      assertThat(fixture.startsOf("late.0.0.0")).isEqualTo(1);
+    }
+  }
 }
