A gang that has room waits for a faster plan for a bounded time only

Cause: a gang always followed the plan that ends first. Where fast workers are asked for by many, that plan starts later at each look, its room is not kept (gangs before it keep a tenth of the capacity idle) and goes to others. Class of fault: waiting for something better without a reservation and without a bound. Why this works: it waits in all no longer than it saves, and 1.5 s at most since it first had room, so a plan that is put off again and again costs that once. Ruled out for these gangs: a run that is never released; too few workers known.

--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Gangs.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Gangs.java
@@ -8,6 +8,7 @@
 import java.util.Locale;
 import java.util.Optional;
 import org.masticspread.cell.policy.Forecast;
+import org.masticspread.cell.policy.GangPatience;
 import org.masticspread.cell.policy.GangPlan;
 import org.masticspread.cell.policy.Placement;
 import org.masticspread.cell.policy.Room;
@@ -97,7 +98,8 @@
       return;
     }
     long limit = best.get().endMillis() + WORTH_CHANGING.toMillis();
-    GangPlan plan = kept.filter(k -> k.endMillis() <= limit).orElse(best.get());
+    GangPlan wanted = kept.filter(k -> k.endMillis() <= limit).orElse(best.get());
+    GangPlan plan = unlessImpatient(wanted, step, gang, usable, outlook);
     boolean started = follow(step, queue, plan, gang, outlook);
     if (step.plannedSinceMillis < 0) {
       step.plannedSinceMillis = outlook.nowMillis();
@@ -107,6 +109,22 @@
     }
   }
 
+  /** Returns a plan, or in place of one that starts later one that starts now. */
+  private static GangPlan unlessImpatient(
+      GangPlan plan, Step step, GangPlan.Gang gang, List<Forecast> usable, Outlook outlook) {
+    long now = outlook.nowMillis();
+    Optional<GangPlan> atOnce = GangPlan.findNow(gang, usable, now);
+    if (atOnce.isEmpty()) {
+      return plan;
+    }
+    if (step.roomSinceMillis < 0) {
+      step.roomSinceMillis = now;
+    }
+    boolean later = plan.startMillis() > now;
+    boolean waits = later && GangPatience.waits(atOnce.get(), plan, now - step.roomSinceMillis);
+    return later && !waits ? atOnce.get() : plan;
+  }
+
   /** Returns the plan that those workers of the former plan allow that are still usable. */
   private Optional<GangPlan> keptPlan(
       GangPlan.Gang gang, Step step, QueueRule queue, Outlook outlook) {
@@ -295,6 +313,8 @@
       runs.add(run);
     }
     step.planned = List.of();
+    step.plannedSinceMillis = -1;
+    step.roomSinceMillis = -1;
     for (Run run : runs) {
       launcher.start(run, approvals.ticket(step, run.worker));
     }
--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Step.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Step.java
@@ -48,6 +48,9 @@
   /** When the gang looks at all workers again. */
   long searchAgainMillis;
 
+  /** Since when the gang could have started on approved workers; negative before. */
+  long roomSinceMillis = -1;
+
   /** When the log last told why the gang has not started. */
   long holdToldMillis = Long.MIN_VALUE / 2;
 
--- a/masticspread-cell/src/main/java/org/masticspread/cell/policy/GangPlan.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/policy/GangPlan.java
@@ -55,6 +55,29 @@
    * @return the plan, or empty if these workers never have room for all
    */
   public static Optional<GangPlan> find(Gang gang, List<Forecast> forecasts, long nowMillis) {
+    return first(candidates(gang, forecasts, nowMillis));
+  }
+
+  /**
+   * Finds the plan by which a gang ends first if it starts now.
+   *
+   * @param gang the gang
+   * @param forecasts the workers that it may use
+   * @param nowMillis the moment, on the cell's clock
+   * @return the plan, or empty if these workers have no room for all now
+   */
+  public static Optional<GangPlan> findNow(Gang gang, List<Forecast> forecasts, long nowMillis) {
+    return first(
+        candidates(gang, forecasts, nowMillis).stream()
+            .filter(plan -> plan.startMillis <= nowMillis)
+            .toList());
+  }
+
+  private static Optional<GangPlan> first(List<GangPlan> plans) {
+    return plans.stream().min(Comparator.comparingLong(GangPlan::endMillis));
+  }
+
+  private static List<GangPlan> candidates(Gang gang, List<Forecast> forecasts, long nowMillis) {
     double fastest = forecasts.stream().mapToDouble(Forecast::speed).max().orElse(1);
     List<Forecast> fast =
         forecasts.stream().filter(f -> f.speed() >= LIKE_SPEED * fastest).toList();
@@ -71,7 +94,7 @@
                   Collectors.groupingBy(f -> f.room().rack(), TreeMap::new, Collectors.toList()));
       racks.values().forEach(rack -> among(rack, gang, 1, nowMillis).ifPresent(plans::add));
     }
-    return plans.stream().min(Comparator.comparingLong(GangPlan::endMillis));
+    return plans;
   }
 
   private static Optional<GangPlan> among(
@@ -143,6 +166,15 @@
     return new GangPlan(start, end, places);
   }
 
+  /**
+   * Returns how long the gang is expected to run by this plan.
+   *
+   * @return the time in ms
+   */
+  public long runMillis() {
+    return endMillis - startMillis;
+  }
+
   /** Keeps the room of the plan for it. */
   public void reserve(StepSpec step) {
     Map<Forecast, Integer> tasks = new LinkedHashMap<>();
--- a/masticspread-cell/src/test/java/org/masticspread/cell/testing/Jobs.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/testing/Jobs.java
@@ -45,6 +45,15 @@
 
   /** Returns a step that may only use workers with a label, as the name of a rack. */
   public static StepSpec labelled(StepSpec step, String label) {
+    return with(step, step.sameRack(), label);
+  }
+
+  /** Returns a step that is faster if all its tasks run in one rack. */
+  public static StepSpec sameRack(StepSpec step) {
+    return with(step, true, step.label());
+  }
+
+  private static StepSpec with(StepSpec step, boolean sameRack, String label) {
     return new StepSpec(
         step.tasks(),
         step.demand(),
@@ -52,7 +61,7 @@
         step.after(),
         step.checkpoints(),
         step.gang(),
-        step.sameRack(),
+        sameRack,
         label,
         step.dataRack(),
         step.mostPerWorker(),
