A gang keeps its room while it asks for tickets

So the tickets came for workers that others had taken, or that were no longer in the plan. Class of fault: check, then act on what was checked a second ago, with nothing held in between. Why this works: a claim lasts until the answer, 3 s at most, and is not counted against the bound for idle room; the gang starts with the answer on workers that hold a ticket. Late gangs with a claim go before late ones without, so they do not take one another's room in turn; gangs in time go before both, as before.

--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Approvals.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Approvals.java
@@ -116,9 +116,13 @@
   /**
    * Asks for the tickets of all workers of a plan in one question, so that they hold together.
    * Those that still hold are asked for too: they might lapse before the answer.
+   *
+   * @return whether the question is on its way
    */
-  void askForTickets(Step step, QueueRule queue, List<Worker> workers) {
+  boolean askForTickets(Step step, QueueRule queue, List<Worker> workers) {
+    int before = step.adviceCalls;
     ask(step, queue, workers, MOST_WORKERS_PER_CALL);
+    return step.adviceCalls > before;
   }
 
   private void ask(Step step, QueueRule queue, List<Worker> workers, int perCall) {
--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Gangs.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Gangs.java
@@ -37,6 +37,9 @@
   /** Between two lines of the log that tell why the same gang has not started. */
   private static final Duration HOLD_TOLD_EVERY = Duration.ofMillis(500);
 
+  /** A gang keeps the room for which it asks for tickets so long at most. */
+  private static final Duration LONGEST_CLAIM = Duration.ofSeconds(3);
+
   /** Members of a broken gang end by themselves sooner than this. */
   private static final Duration PARTIAL = Duration.ofMillis(600);
 
@@ -74,6 +77,9 @@
             step.name,
             cell.expectedMillis(queue, step.spec),
             ports.limits().farSlowdown());
+    if (launchOrClaim(step, queue, gang, outlook)) {
+      return;
+    }
     Optional<GangPlan> kept = keptPlan(gang, step, queue, outlook);
     if (outlook.nowMillis() < step.searchAgainMillis) {
       kept.ifPresent(plan -> follow(step, queue, plan, gang, outlook));
@@ -125,19 +131,52 @@
     return later && !waits ? atOnce.get() : plan;
   }
 
+  /**
+   * Starts a gang when the answer about its tickets is there; until then keeps the room that it
+   * asked for, so that no other gang takes it meanwhile.
+   *
+   * @return whether it was started or its room is kept
+   */
+  private boolean launchOrClaim(Step step, QueueRule queue, GangPlan.Gang gang, Outlook outlook) {
+    if (step.claimed.isEmpty()) {
+      return false;
+    }
+    if (step.adviceCalls == 0) {
+      step.claimed = List.of();
+      Optional<GangPlan> startable = startNow(gang, step, queue, outlook);
+      startable.ifPresent(plan -> launch(step, plan));
+      return startable.isPresent();
+    }
+    boolean tooLong = outlook.nowMillis() - step.claimedSinceMillis > LONGEST_CLAIM.toMillis();
+    Optional<GangPlan> plan =
+        GangPlan.findNow(gang, forecasts(step.claimed, queue, outlook), outlook.nowMillis());
+    if (tooLong || plan.isEmpty()) {
+      step.claimed = List.of();
+      return false;
+    }
+    claim(step, queue, plan.get(), outlook);
+    return true;
+  }
+
+  private void claim(Step step, QueueRule queue, GangPlan plan, Outlook outlook) {
+    outlook.claim(plan, step.spec);
+    hold(step, queue, Hold.TICKETS_LAPSED, outlook, "workers", plan.workers().size());
+  }
+
   /** Returns the plan that those workers of the former plan allow that are still usable. */
   private Optional<GangPlan> keptPlan(
       GangPlan.Gang gang, Step step, QueueRule queue, Outlook outlook) {
     if (step.planned.isEmpty()) {
       return Optional.empty();
     }
-    List<Forecast> former = new ArrayList<>();
-    for (Worker worker : step.planned) {
-      if (outlook.usable(queue, worker)) {
-        former.add(outlook.of(worker));
-      }
-    }
-    return GangPlan.find(gang, former, outlook.nowMillis());
+    return GangPlan.find(gang, forecasts(step.planned, queue, outlook), outlook.nowMillis());
+  }
+
+  private static List<Forecast> forecasts(List<Worker> workers, QueueRule queue, Outlook outlook) {
+    return workers.stream()
+        .filter(worker -> outlook.usable(queue, worker))
+        .map(outlook::of)
+        .toList();
   }
 
   private List<Forecast> usable(Step step, QueueRule queue, Outlook outlook, List<Worker> unknown) {
@@ -167,8 +206,12 @@
         launch(step, startable.get());
         return true;
       }
-      // The room is there: asking for tickets keeps no further room idle, whatever others keep.
-      approvals.askForTickets(step, queue, workersOf(plan));
+      if (approvals.askForTickets(step, queue, workersOf(plan))) {
+        step.claimed = workersOf(plan);
+        step.claimedSinceMillis = outlook.nowMillis();
+        claim(step, queue, plan, outlook);
+        return false;
+      }
     }
     boolean kept = outlook.keep(plan, step.spec, queue);
     Hold reason =
@@ -205,7 +248,6 @@
               lapsed.size());
     }
     step.planned = workers;
-    workers.forEach(worker -> worker.awaitedMillis = outlook.nowMillis());
     askAhead(step, queue, outlook, plan, lapsed);
     return false;
   }
@@ -313,6 +355,7 @@
       runs.add(run);
     }
     step.planned = List.of();
+    step.claimed = List.of();
     step.plannedSinceMillis = -1;
     step.roomSinceMillis = -1;
     for (Run run : runs) {
--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Outlook.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Outlook.java
@@ -58,11 +58,18 @@
     if (idleMillicores > MOST_IDLE * capacityMillicores(queue)) {
       return false;
     }
+    claim(plan, step);
+    return true;
+  }
+
+  /** Keeps the room of a plan that starts as soon as its tickets are there. */
+  void claim(GangPlan plan, StepSpec step) {
     for (Room room : plan.workers()) {
-      idleMillicores += Math.max(0, ((Worker) room).free().millicores());
+      Worker worker = (Worker) room;
+      idleMillicores += Math.max(0, worker.free().millicores());
+      worker.awaitedMillis = nowMillis;
     }
     plan.reserve(step);
-    return true;
   }
 
   private double capacityMillicores(QueueRule queue) {
--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Scheduler.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Scheduler.java
@@ -97,7 +97,8 @@
       step.latestStartMillis = latestStart(step, queue);
       step.latestStartAtMillis = now;
     }
-    return new Candidate(queue.priority(), step.latestStartMillis, step.name);
+    boolean holdsRoom = !step.claimed.isEmpty();
+    return new Candidate(queue.priority(), holdsRoom, step.latestStartMillis, step.name);
   }
 
   private long latestStart(Step step, QueueRule queue) {
--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Step.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Step.java
@@ -26,9 +26,17 @@
   /** The runs of the gang that failed. */
   final Set<Long> failedGangRuns = new TreeSet<>();
 
-  /** Calls for advice on their way. */
+  /** Calls for advice on further workers on their way. */
   int adviceCalls;
 
+  /** Calls for the tickets of a plan on their way. */
+  int ticketCalls;
+
+  /** The workers whose room a gang keeps while it asks for their tickets, and since when. */
+  List<Worker> claimed = List.of();
+
+  long claimedSinceMillis;
+
   long adviceNotBeforeMillis;
 
   /** The latest start that meets the objective, and when it was worked out; negative before. */
--- a/masticspread-cell/src/test/java/org/masticspread/cell/policy/StartOrderTest.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/policy/StartOrderTest.java
@@ -32,4 +32,16 @@
     assertThat(order(new Candidate(1, 900, "late"), new Candidate(1, 2000, "in time")))
         .containsExactly("in time", "late");
   }
+
+  @Test
+  void should_let_a_late_gang_keep_its_room_against_other_late_ones() {
+    // WHEN / THEN
+    assertThat(
+            order(
+                new Candidate(1, 800, "later"),
+                new Candidate(1, true, 900, "holds room"),
+                new Candidate(1, 2000, "in time"),
+                new Candidate(1, true, 2500, "in time, holds room")))
+        .containsExactly("in time", "in time, holds room", "holds room", "later");
+  }
 }
