A question about further workers does not hold up the one for a gang's tickets

Cause: one count of open questions for two purposes. A gang that searches on always has one open, for 1 s and more. Class of fault: a slow exploratory request blocks the short one that is needed now. GangClaimTest.QuestionsBeside failed before: expected 1 start but was 0.

--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Approvals.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Approvals.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import org.masticspread.model.cell.AdviceRule;
 import org.masticspread.model.cell.QueueRule;
 import org.masticspread.model.peer.AdviceReply;
 
@@ -108,45 +107,50 @@
     return approval == null ? "" : approval.code();
   }
 
-  /** Asks about workers, unless calls for the step are on their way. */
+  /** Asks about workers, unless such calls for the step are on their way. */
   void ask(Step step, QueueRule queue, List<Worker> workers) {
-    ask(step, queue, workers, WORKERS_PER_CALL);
+    if (step.adviceCalls > 0 || now() < step.adviceNotBeforeMillis) {
+      return;
+    }
+    for (int from = 0; from < workers.size(); from += WORKERS_PER_CALL) {
+      if (step.adviceCalls >= MOST_CALLS || !ports.advice().open(queue.priority())) {
+        return;
+      }
+      int to = Math.min(workers.size(), from + WORKERS_PER_CALL);
+      step.adviceCalls++;
+      call(step, queue, workers.subList(from, to), () -> step.adviceCalls--);
+    }
   }
 
   /**
    * Asks for the tickets of all workers of a plan in one question, so that they hold together.
-   * Those that still hold are asked for too: they might lapse before the answer.
+   * Those that still hold are asked for too: they might lapse before the answer. Calls about
+   * further workers do not hold it up.
    *
    * @return whether the question is on its way
    */
   boolean askForTickets(Step step, QueueRule queue, List<Worker> workers) {
-    int before = step.adviceCalls;
-    ask(step, queue, workers, MOST_WORKERS_PER_CALL);
-    return step.adviceCalls > before;
-  }
-
-  private void ask(Step step, QueueRule queue, List<Worker> workers, int perCall) {
-    if (step.adviceCalls > 0 || now() < step.adviceNotBeforeMillis) {
-      return;
+    if (step.ticketCalls > 0 || now() < step.adviceNotBeforeMillis) {
+      return false;
     }
-    AdviceRule rule = queue.advice().orElseThrow();
-    for (int from = 0; from < workers.size(); from += perCall) {
-      if (step.adviceCalls >= MOST_CALLS || !ports.advice().open(queue.priority())) {
-        return;
-      }
-      int to = Math.min(workers.size(), from + perCall);
-      call(step, queue, workers.subList(from, to), rule);
+    if (!ports.advice().open(queue.priority())) {
+      return false;
+    }
+    for (int from = 0; from < workers.size(); from += MOST_WORKERS_PER_CALL) {
+      int to = Math.min(workers.size(), from + MOST_WORKERS_PER_CALL);
+      step.ticketCalls++;
+      call(step, queue, workers.subList(from, to), () -> step.ticketCalls--);
     }
+    return true;
   }
 
-  private void call(Step step, QueueRule queue, List<Worker> workers, AdviceRule rule) {
+  private void call(Step step, QueueRule queue, List<Worker> workers, Runnable answered) {
     List<String> ids = new ArrayList<>();
     Map<String, Long> lives = new HashMap<>();
     for (Worker worker : workers) {
       ids.add(worker.id());
       lives.put(worker.id(), worker.life);
     }
-    step.adviceCalls++;
     long asked = now();
     var unused =
         ports
@@ -155,16 +159,19 @@
                 new Advice.Question(
                     step.name,
                     ids,
-                    rule,
+                    queue.advice().orElseThrow(),
                     queue.priority(),
                     step.latestStartMillis,
                     () -> !cell.closed() && !step.job.state.ended() && step.anyWaiting()))
-            .subscribe(reply -> advised(step, queue, lives, reply, asked));
+            .subscribe(
+                reply -> {
+                  answered.run();
+                  advised(step, queue, lives, reply, asked);
+                });
   }
 
   private void advised(
       Step step, QueueRule queue, Map<String, Long> lives, AdviceReply reply, long asked) {
-    step.adviceCalls--;
     if (cell.closed()) {
       return;
     }
--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Gangs.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Gangs.java
@@ -141,7 +141,7 @@
     if (step.claimed.isEmpty()) {
       return false;
     }
-    if (step.adviceCalls == 0) {
+    if (step.ticketCalls == 0) {
       step.claimed = List.of();
       Optional<GangPlan> startable = startNow(gang, step, queue, outlook);
       startable.ifPresent(plan -> launch(step, plan));
@@ -270,7 +270,8 @@
     List<Object> told = new ArrayList<>(List.of("reason", name));
     told.addAll(List.of("readyForMs", now - step.readyAtMillis));
     told.addAll(List.of("lateMs", now - step.latestStartMillis));
-    told.addAll(List.of("adviceCalls", step.adviceCalls, "tasks", step.tasks.size()));
+    told.addAll(List.of("adviceCalls", step.adviceCalls, "ticketCalls", step.ticketCalls));
+    told.addAll(List.of("tasks", step.tasks.size()));
     told.addAll(List.of("placesFree", free, "placesUnreserved", unreserved));
     told.addAll(List.of(facts));
     ports.log().event("gang-holds", step.name, told.toArray());
--- a/masticspread-cell/src/test/java/org/masticspread/cell/engine/GangClaimTest.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/engine/GangClaimTest.java
@@ -31,13 +31,15 @@
               Jobs.queue("bulk", 2, Optional.empty())),
           time ->
               (vm, step, ids, timeout) ->
-                  Single.create(
-                      emitter -> time.after(CALL, () -> emitter.onSuccess(approveAll(ids)))),
+                  Single.create(emitter -> time.after(CALL, () -> emitter.onSuccess(approve(ids)))),
           List.of("vm-1", "vm-2"));
 
-  private static AdviceReply approveAll(List<String> ids) {
+  private static AdviceReply approve(List<String> ids) {
     List<AdviceReply.Ticket> tickets =
-        ids.stream().map(id -> new AdviceReply.Ticket(id, "t")).toList();
+        ids.stream()
+            .filter(id -> !id.startsWith("new"))
+            .map(id -> new AdviceReply.Ticket(id, "t"))
+            .toList();
     return new AdviceReply(true, tickets, (int) VALIDITY.toMillis());
   }
 
@@ -89,4 +91,29 @@
       assertThat(fixture.startsOf("late.0.0.0")).isEqualTo(1);
     }
   }
+
+  @Nested
+  class QuestionsBeside {
+    @Test
+    void should_ask_for_tickets_while_a_question_about_other_workers_is_open() {
+      // GIVEN a gang that asks about new workers, which are not approved
+      workers("few", 8);
+      fixture.lead();
+      pass(50);
+      job("blocks-few", "checks", 8, false, "few", Duration.ofSeconds(20));
+      job("late", "layouts", 6, true, "few", Duration.ofSeconds(30));
+      pass(10_000);
+      for (int i = 1; i <= 20; i++) {
+        fixture.cell.register(fixture.workers.add("new" + i, "few", MILLICORES).entry);
+      }
+      pass(150);
+
+      // WHEN
+      fixture.call(CellCall.Action.CANCEL, "blocks-few", null);
+      pass(CALL.toMillis() + 300);
+
+      // THEN
+      assertThat(fixture.startsOf("late.0.0.0")).isEqualTo(1);
+    }
+  }
 }
