A gang asks for tickets of spare workers too

Cause: a question named just the workers of the plan. GangClaimTest.QuestionsBeside.should_start_on_spare_workers failed before: expected 1 start but was 0.

--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Gangs.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Gangs.java
@@ -37,6 +37,9 @@
   /** Between two lines of the log that tell why the same gang has not started. */
   private static final Duration HOLD_TOLD_EVERY = Duration.ofMillis(500);
 
+  /** Places asked for beyond those of a plan, for each of its tasks. */
+  private static final double SPARE_SHARE = 0.5;
+
   /** A gang keeps the room for which it asks for tickets so long at most. */
   private static final Duration LONGEST_CLAIM = Duration.ofSeconds(3);
 
@@ -206,7 +209,7 @@
         launch(step, startable.get());
         return true;
       }
-      if (approvals.askForTickets(step, queue, workersOf(plan))) {
+      if (approvals.askForTickets(step, queue, withSpares(step, queue, plan, outlook))) {
         step.claimed = workersOf(plan);
         step.claimedSinceMillis = outlook.nowMillis();
         claim(step, queue, plan, outlook);
@@ -307,8 +310,30 @@
     List<Worker> workers = workersOf(plan);
     long call = queue.advice().orElseThrow().callTime(workers.size()).toMillis();
     if (plan.startMillis() - outlook.nowMillis() <= call + WORTH_CHANGING.toMillis()) {
-      approvals.askForTickets(step, queue, workers);
+      approvals.askForTickets(step, queue, withSpares(step, queue, plan, outlook));
+    }
+  }
+
+  /** Adds workers with room, in place of such that are taken before the answer. */
+  private List<Worker> withSpares(Step step, QueueRule queue, GangPlan plan, Outlook outlook) {
+    List<Worker> workers = new ArrayList<>(workersOf(plan));
+    List<Offer> offers = new ArrayList<>();
+    for (Forecast forecast : usable(step, queue, outlook, new ArrayList<>())) {
+      int slots = forecast.slotsAt(step.spec, step.name, plan.startMillis());
+      if (slots > 0 && !workers.contains((Worker) forecast.room())) {
+        offers.add(new Offer((Worker) forecast.room(), slots));
+      }
+    }
+    offers.sort(Comparator.comparingDouble(offer -> -offer.value));
+    double spare = 0;
+    for (Offer offer : offers) {
+      if (spare >= SPARE_SHARE * step.tasks.size()) {
+        break;
+      }
+      workers.add(offer.worker);
+      spare += offer.value;
     }
+    return workers;
   }
 
   private static List<Worker> workersOf(GangPlan plan) {
--- a/masticspread-cell/src/test/java/org/masticspread/cell/engine/GangClaimTest.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/engine/GangClaimTest.java
@@ -115,5 +115,25 @@
       // THEN
       assertThat(fixture.startsOf("late.0.0.0")).isEqualTo(1);
     }
+
+    @Test
+    void should_start_on_spare_workers_when_one_of_its_plan_leaves_before_the_answer() {
+      // GIVEN
+      workers("few", 8);
+      fixture.lead();
+      pass(50);
+      job("blocks-few", "checks", 8, false, "few", Duration.ofSeconds(20));
+      job("late", "layouts", 4, true, "few", Duration.ofSeconds(30));
+      pass(10_000);
+      fixture.call(CellCall.Action.CANCEL, "blocks-few", null);
+      pass(100);
+
+      // WHEN
+      fixture.cell.unregister("few1");
+      pass(CALL.toMillis() + 300);
+
+      // THEN
+      assertThat(fixture.startsOf("late.0.0.0")).isEqualTo(1);
+    }
   }
 }
