A new leader's first questions name enough workers for a gang; StandingWorkTest is green

Cause: until the first answer half of the workers are taken to be approved, of which gangs get 0.3: the first question names too few. That holds after each change of the leader, since what was learned goes with it.

--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Approvals.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Approvals.java
@@ -32,8 +32,8 @@
   /** Below this share an advisor that approves next to none would be asked about all workers. */
   private static final double LOWEST_SHARE = 0.05;
 
-  /** Until an answer says otherwise, half of the workers are taken to be approved. */
-  private static final double FIRST_SHARE = 0.5;
+  /** Until an answer says otherwise, this share of the workers is taken to be approved. */
+  private static final double FIRST_SHARE = 0.3;
 
   private final CellPorts ports;
   private final Cell cell;
--- a/masticspread-cell/src/test/java/org/masticspread/cell/load/StandingWorkTest.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/load/StandingWorkTest.java
@@ -4,7 +4,6 @@
 
 import java.time.Duration;
 import org.junit.jupiter.api.Nested;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -33,7 +32,6 @@
   }
 
   @Nested
-  @Tag("known-red")
   class BesideGangs {
     @ParameterizedTest
     @CsvSource({
