A worker that refuses a start gets no other until it was heard again

Seen by callers: accepted work stands still for as long as one worker refuses starts (503 of an unhealthy worker, no room since its capacity is less than the registry tells), though others are free. Cause: a refusal of a single job never put the worker aside (TroubleWatch counts jobs), so the next pass, 4 ms later, chose the same worker again, being the cheapest.

Fix: a refusal for a reason of the worker's own makes it unusable until it answers a renewal sent later, so the next pass takes another worker.

--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Fleet.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Fleet.java
@@ -85,7 +85,7 @@
     if (now - worker.heardMillis > SILENT.toMillis() || worker.failedRenewals > 0) {
       return false;
     }
-    if (!troubles.usable(worker.id(), now)) {
+    if (worker.refuses() || !troubles.usable(worker.id(), now)) {
       return false;
     }
     return !troubles.onProbation(worker.id()) || worker.runs.isEmpty();
--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Launcher.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Launcher.java
@@ -2,7 +2,9 @@
 
 import com.codahale.metrics.MetricRegistry;
 import java.time.Duration;
+import java.util.EnumSet;
 import java.util.Locale;
+import java.util.Set;
 import org.masticspread.cell.policy.OwnDelay;
 import org.masticspread.cell.port.WorkerPort.OrderResult;
 import org.masticspread.cell.port.WorkerPort.Outcome;
@@ -14,6 +16,10 @@
   /** Between two attempts to stop a run: a worker answers within a few ms when it is reached. */
   private static final Duration STOP_RETRY = Duration.ofMillis(250);
 
+  /** Refusals that another worker would not give. */
+  private static final Set<Outcome> OF_THE_WORKER =
+      EnumSet.of(Outcome.UNHEALTHY, Outcome.NOT_SENT, Outcome.NO_ROOM, Outcome.OTHER_LIFE);
+
   private final CellPorts ports;
   private final Fleet fleet;
   private final Cell cell;
@@ -134,7 +140,8 @@
     if (outcome == Outcome.NO_TICKET) {
       run.task.step.approvals.remove(run.worker.id());
     }
-    if (outcome == Outcome.NO_ROOM || outcome == Outcome.OTHER_LIFE) {
+    if (OF_THE_WORKER.contains(outcome)) {
+      run.worker.refusedMillis = now();
       run.worker.renewSoon = true;
       cell.renew(run.worker);
     }
--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Reports.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Reports.java
@@ -56,6 +56,7 @@
     }
     worker.readClock(view.clockMillis(), now());
     worker.heardMillis = now();
+    worker.renewedMillis = sentMillis;
     takeEnds(worker, view);
     takeRunning(worker, view, sentMillis);
   }
--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Worker.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Worker.java
@@ -41,6 +41,12 @@
 
   long heardMillis = -1;
 
+  /** When the newest renewal was sent that it answered. */
+  long renewedMillis = -1;
+
+  /** When it last refused a start for a reason of its own; negative before. */
+  long refusedMillis = -1;
+
   /** The worker's clock and when it was read, on the cell's clock. */
   long clockMillis;
 
@@ -130,6 +136,11 @@
     return clockReadMillis + (long) left + Cell.LAPSE_MARGIN.toMillis();
   }
 
+  /** Tells whether it refused a start and has answered no renewal since. */
+  boolean refuses() {
+    return refusedMillis >= 0 && renewedMillis < refusedMillis;
+  }
+
   boolean gone() {
     return missingSinceMillis >= 0;
   }
--- /dev/null
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/engine/StandstillTest.java
@@ -0,0 +1,105 @@
+package org.masticspread.cell.engine;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.Optional;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.masticspread.cell.port.WorkerPort.Outcome;
+import org.masticspread.cell.testing.CellFixture;
+import org.masticspread.cell.testing.Jobs;
+import org.masticspread.model.cell.StepSpec;
+import org.masticspread.model.peer.CellReply;
+
+/** Accepted work starts within 3 s of the moment at which nothing forbids it any more. */
+class StandstillTest {
+  private static final Duration SHORT = Duration.ofMillis(300);
+
+  /** How long a stopped task may go on. */
+  private static final Duration STOP = Duration.ofMillis(900);
+
+  /** From here on accepted work that could run stands still for too long. */
+  private static final long BOUND_MILLIS = 3000;
+
+  private final CellFixture fixture =
+      new CellFixture(Jobs.config(Jobs.queue("checks", 0, Optional.empty())));
+
+  @BeforeEach
+  void start() {
+    fixture.workers.add("w1", "r1", 8000);
+    fixture.workers.add("w2", "r1", 8000);
+    fixture.workers.add("w3", "r2", 8000);
+    fixture.lead();
+    pass(50);
+  }
+
+  @AfterEach
+  void should_never_break_a_promise() {
+    assertThat(fixture.workers.violations()).isEmpty();
+  }
+
+  private void pass(long millis) {
+    fixture.time.pass(Duration.ofMillis(millis));
+  }
+
+  private void accept(String id, Duration runs, StepSpec... steps) {
+    fixture.workers.describe(id, steps[0].demand(), runs);
+    CellReply reply = fixture.accept(Jobs.job(id, steps));
+    assertThat(reply.outcome()).isEqualTo(CellReply.Outcome.ACCEPTED);
+  }
+
+  private void accept(String id, int tasks, long millicores, Duration runs) {
+    accept(id, runs, Jobs.step(tasks, millicores, runs, false));
+  }
+
+  private void gang(String id, int tasks, long millicores, Duration runs) {
+    fixture.workers.describeGang(id + ".0.0", tasks);
+    accept(id, runs, Jobs.step(tasks, millicores, runs, true));
+  }
+
+  @Nested
+  class RefusedStarts {
+    @Test
+    void should_start_elsewhere_what_an_unhealthy_worker_refuses() {
+      // GIVEN
+      fixture.workers.state("w1").refusesStarts = Outcome.UNHEALTHY;
+
+      // WHEN
+      accept("a", 1, 1000, SHORT);
+      pass(BOUND_MILLIS);
+
+      // THEN
+      assertThat(fixture.startsOf("a.0.0.0")).isEqualTo(1);
+    }
+
+    @Test
+    void should_start_elsewhere_what_a_worker_with_less_room_than_known_refuses() {
+      // GIVEN
+      fixture.workers.state("w1").refusesStarts = Outcome.NO_ROOM;
+
+      // WHEN
+      accept("a", 1, 1000, SHORT);
+      pass(BOUND_MILLIS);
+
+      // THEN
+      assertThat(fixture.startsOf("a.0.0.0")).isEqualTo(1);
+    }
+
+    @Test
+    void should_start_a_gang_elsewhere_that_an_unhealthy_worker_refuses() {
+      // GIVEN
+      fixture.workers.entries().forEach(e -> fixture.workers.state(e.id()).stopTakes = STOP);
+      fixture.workers.state("w1").refusesStarts = Outcome.UNHEALTHY;
+
+      // WHEN
+      gang("a", 2, 8000, SHORT);
+      pass(BOUND_MILLIS);
+
+      // THEN
+      assertThat(fixture.workers.succeeded()).contains("a.0.0.0");
+    }
+  }
+}
--- a/masticspread-cell/src/test/java/org/masticspread/cell/testing/FakeWorkers.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/testing/FakeWorkers.java
@@ -56,6 +56,16 @@
     public boolean losesNextStart;
     public Duration nextStartLate;
     public Duration stopTakes = Duration.ZERO;
+
+    /** How starts are refused, without effect; null if they are carried out. */
+    public Outcome refusesStarts;
+
+    /** How stops are refused, without effect; null if they are carried out. */
+    public Outcome refusesStops;
+
+    /** Whether another incarnation answers at its address. */
+    public boolean replaced;
+
     public long life = 1;
 
     /** How fast it works; 1 for the run times that were described. */
@@ -203,9 +213,26 @@
     state.life++;
   }
 
+  /** Ends a worker; another incarnation, with another id, answers at its address. */
+  public void replace(String id) {
+    restart(id);
+    workers.get(id).replaced = true;
+  }
+
+  private Single<OrderResult> refused(Outcome outcome) {
+    return Single.create(
+        emitter -> time.after(LATENCY, () -> emitter.onSuccess(OrderResult.of(outcome))));
+  }
+
   @Override
   public Single<OrderResult> start(WorkerEntry worker, Start order) {
     State state = workers.get(worker.id());
+    if (state.replaced) {
+      return refused(Outcome.OTHER_LIFE);
+    }
+    if (state.refusesStarts != null) {
+      return refused(state.refusesStarts);
+    }
     boolean lost = state.silent || state.losesNextStart || state.nextStartLate != null;
     Duration late = state.nextStartLate;
     boolean neverArrives = state.silent || state.losesNextStart;
@@ -375,6 +402,12 @@
   @Override
   public Single<OrderResult> stop(WorkerEntry worker, String task, long run, long token) {
     State state = workers.get(worker.id());
+    if (state.replaced) {
+      return refused(Outcome.OTHER_LIFE);
+    }
+    if (state.refusesStops != null) {
+      return refused(state.refusesStops);
+    }
     return Single.create(
         emitter -> {
           if (state.silent) {
@@ -413,6 +446,10 @@
   @Override
   public Single<RenewResult> renew(WorkerEntry worker, Renewal renewal) {
     State state = workers.get(worker.id());
+    if (state.replaced) {
+      return refused(Outcome.OTHER_LIFE)
+          .map(result -> new RenewResult(result.outcome(), Optional.empty()));
+    }
     return Single.create(
         emitter -> {
           if (state.silent) {
@@ -427,7 +464,10 @@
               () -> {
                 if (!answered[0] && !state.silent) {
                   answered[0] = true;
-                  emitter.onSuccess(look(state, renewal));
+                  emitter.onSuccess(
+                      state.replaced
+                          ? new RenewResult(Outcome.UNKNOWN, Optional.empty())
+                          : look(state, renewal));
                 }
               };
           boolean news = state.lastEnd > renewal.acknowledged();
--- a/masticspread-cell/src/test/java/org/masticspread/cell/testing/Jobs.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/testing/Jobs.java
@@ -64,6 +64,27 @@
         step.mostUnavailable());
   }
 
+  /** Returns a step whose tasks run until the job is cancelled. */
+  public static StepSpec lasting(int tasks, long millicores) {
+    return new StepSpec(
+        tasks,
+        new ResourceVector(millicores, 1024, 0),
+        Duration.ZERO,
+        List.of(),
+        false,
+        false,
+        false,
+        "",
+        "",
+        0,
+        false,
+        true,
+        "",
+        Duration.ZERO,
+        false,
+        0);
+  }
+
   /** Returns a job of the queue {@code checks}. */
   public static JobOrder job(String id, StepSpec... steps) {
     return job(id, "checks", steps);
