A leader that reaches no worker for a moment puts none aside

Seen by callers: after the leader's own link was cut for some 100 ms, everything that was accepted stands still for 3 s. Cause: a start that was certainly not sent counted as a failure on its worker; with two jobs waiting, all workers were put aside at once.

Evidence before, StandstillTest.should_use_all_workers_again_once_the_leader_reaches_them: "expected: 1L but was: 0L" starts 1.5 s after the workers were reached again.

Fix: a start that was not sent says nothing of the worker's health. It gets no other start until it has answered a renewal, which fails while the worker is not reached.

--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Launcher.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Launcher.java
@@ -134,7 +134,7 @@
             run.worker.id(),
             "reason",
             outcome);
-    if (outcome == Outcome.UNHEALTHY || outcome == Outcome.NOT_SENT) {
+    if (outcome == Outcome.UNHEALTHY) {
       fleet.troubles.failed(run.worker.id(), run.task.step.job.id(), now());
     }
     if (outcome == Outcome.NO_TICKET) {
--- a/masticspread-cell/src/test/java/org/masticspread/cell/engine/StandstillTest.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/engine/StandstillTest.java
@@ -13,6 +13,7 @@
 import org.masticspread.cell.testing.Jobs;
 import org.masticspread.model.cell.StepSpec;
 import org.masticspread.model.peer.CellReply;
+import org.masticspread.model.resource.ResourceVector;
 
 /** Accepted work starts within 3 s of the moment at which nothing forbids it any more. */
 class StandstillTest {
@@ -60,6 +61,10 @@
     accept(id, runs, Jobs.step(tasks, millicores, runs, true));
   }
 
+  private void allRefuse(Outcome outcome) {
+    fixture.workers.entries().forEach(e -> fixture.workers.state(e.id()).refusesStarts = outcome);
+  }
+
   @Nested
   class RefusedStarts {
     @Test
@@ -101,5 +106,23 @@
       // THEN
       assertThat(fixture.workers.succeeded()).contains("a.0.0.0");
     }
+
+    @Test
+    void should_use_all_workers_again_once_the_leader_reaches_them() {
+      // GIVEN
+      allRefuse(Outcome.NOT_SENT);
+      for (int i = 0; i < 6; i++) {
+        fixture.workers.describe("a" + i, new ResourceVector(2000, 1024, 0), SHORT);
+        fixture.submit(Jobs.job("a" + i, Jobs.step(3, 2000, SHORT, false)));
+      }
+      pass(300);
+
+      // WHEN
+      allRefuse(null);
+      pass(1500);
+
+      // THEN
+      assertThat(fixture.startsOf("a0.0.0.0")).isEqualTo(1);
+    }
   }
 }
