A worker on probation is used beside a task that makes progress

Seen by callers: accepted work that may only use a few workers stands still beside their free room. Cause: a worker that had been put aside was used again only while nothing ran on it, so one long or lasting task kept the rest of its room idle until it ended; lasting tasks never end with a success, so there the probation lasted for good.

Evidence before, StandstillTest.should_use_the_room_beside_a_long_task_on_probation: "expected: 1L but was: 0L" starts of the next job 3 s after it was accepted, with 7 of 8 cores free beside a task of 20 s.

Fix: what a worker in trouble fails or halts does so soon. It is used again when each of its runs has been listed with progress and is a second old.

--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Fleet.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Fleet.java
@@ -88,7 +88,8 @@
     if (worker.refuses() || !troubles.usable(worker.id(), now)) {
       return false;
     }
-    return !troubles.onProbation(worker.id()) || worker.runs.isEmpty();
+    return !troubles.onProbation(worker.id())
+        || worker.runs.values().stream().allMatch(run -> run.proven(now));
   }
 
   /** Tells whether a worker may still run what an earlier epoch started there. */
--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Run.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Run.java
@@ -1,5 +1,6 @@
 package org.masticspread.cell.engine;
 
+import java.time.Duration;
 import org.masticspread.model.resource.ResourceVector;
 
 /** One start of a task on one worker, from its booking until it is certainly over. */
@@ -17,6 +18,9 @@
   /** From here on progress says more about the run time than the estimate does. */
   private static final int TELLING_PERCENT = 15;
 
+  /** A worker in trouble fails or halts a run sooner than this. */
+  private static final Duration PROVEN = Duration.ofSeconds(1);
+
   /** A stopped run, or one that should have ended, is over about this much later, in ms. */
   private static final long SOON_MILLIS = 30;
 
@@ -62,6 +66,14 @@
     this.task = task;
   }
 
+  /** Tells whether its worker has made progress with it for a while. */
+  boolean proven(long nowMillis) {
+    return phase == Phase.RUNNING
+        && !stopWanted
+        && percent > 0
+        && nowMillis - startedAtMillis >= PROVEN.toMillis();
+  }
+
   /** Returns when it will be over, by its progress as far as that says anything. */
   long expectedEndMillis(long nowMillis) {
     if (stopWanted) {
--- a/masticspread-cell/src/main/java/org/masticspread/cell/policy/TroubleWatch.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/policy/TroubleWatch.java
@@ -83,7 +83,8 @@
   }
 
   /**
-   * Tells whether a worker was put aside and has not succeeded since: it gets one task at a time.
+   * Tells whether a worker was put aside and has not succeeded since: it gets a further task only
+   * when those that it has make progress.
    *
    * @param worker the worker
    * @return whether it is on probation
--- a/masticspread-cell/src/test/java/org/masticspread/cell/engine/StandstillTest.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/engine/StandstillTest.java
@@ -12,12 +12,14 @@
 import org.masticspread.cell.testing.CellFixture;
 import org.masticspread.cell.testing.Jobs;
 import org.masticspread.model.cell.StepSpec;
+import org.masticspread.model.peer.CellCall.Action;
 import org.masticspread.model.peer.CellReply;
 import org.masticspread.model.resource.ResourceVector;
 
 /** Accepted work starts within 3 s of the moment at which nothing forbids it any more. */
 class StandstillTest {
   private static final Duration SHORT = Duration.ofMillis(300);
+  private static final Duration LONG = Duration.ofSeconds(20);
 
   /** How long a stopped task may go on. */
   private static final Duration STOP = Duration.ofMillis(900);
@@ -65,6 +67,15 @@
     fixture.workers.entries().forEach(e -> fixture.workers.state(e.id()).refusesStarts = outcome);
   }
 
+  private void hopeless(String id, long millicores, String label) {
+    fixture.workers.describeHopeless(id);
+    accept(id, SHORT, Jobs.labelled(Jobs.step(1, millicores, SHORT, false), label));
+  }
+
+  private void cancel(String job) {
+    fixture.call(Action.CANCEL, job, null);
+  }
+
   @Nested
   class RefusedStarts {
     @Test
@@ -125,4 +136,28 @@
       assertThat(fixture.startsOf("a0.0.0.0")).isEqualTo(1);
     }
   }
+
+  @Nested
+  class WorkersPutAside {
+    @Test
+    void should_use_the_room_beside_a_long_task_on_probation() {
+      // GIVEN
+      hopeless("a", 1000, "r2");
+      hopeless("b", 1000, "r2");
+      pass(1500);
+      cancel("a");
+      cancel("b");
+      pass(6500);
+      accept("long", LONG, Jobs.labelled(Jobs.step(1, 1000, LONG, false), "r2"));
+      pass(1500);
+
+      // WHEN
+      accept("next", SHORT, Jobs.labelled(Jobs.step(1, 1000, SHORT, false), "r2"));
+      pass(BOUND_MILLIS);
+
+      // THEN
+      assertThat(fixture.startsOf("long.0.0.0")).isEqualTo(1);
+      assertThat(fixture.startsOf("next.0.0.0")).isEqualTo(1);
+    }
+  }
 }
--- a/masticspread-cell/src/test/java/org/masticspread/cell/testing/FakeWorkers.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/testing/FakeWorkers.java
@@ -37,6 +37,8 @@
   private final List<String> violations = new ArrayList<>();
   private final Set<String> succeeded = new LinkedHashSet<>();
 
+  private final Set<String> hopeless = new LinkedHashSet<>();
+
   /** The steps whose tasks work only together, with the number of their tasks. */
   private final Map<String, Integer> gangs = new HashMap<>();
 
@@ -148,6 +150,11 @@
     runMillis.put(task, runs.toMillis());
   }
 
+  /** Tells that all tasks of a job fail, wherever they run. */
+  public void describeHopeless(String job) {
+    hopeless.add(job);
+  }
+
   /** Tells that the tasks of a step work only together. */
   public void describeGang(String step, int tasks) {
     gangs.put(step, tasks);
@@ -378,7 +385,8 @@
 
   private void finish(State state, RunState run) {
     if (state.running.get(run.task) == run) {
-      end(state, run, state.failsAll ? EndKind.FAILED : EndKind.SUCCEEDED);
+      boolean fails = state.failsAll || hopeless.contains(jobOf(run.task));
+      end(state, run, fails ? EndKind.FAILED : EndKind.SUCCEEDED);
     }
   }
 
