The ends of lasting tasks put no worker aside

Seen by callers: lasting tasks that failed are not started again for up to 12 s though workers are free. Cause: tasks that last may fail at any time and never succeed, so two jobs of them that failed on a worker put it aside for 3, 6, then 12 s, and nothing but a success of another kind of task ends that.

Evidence before, StandstillTest.should_start_lasting_tasks_again_that_fail_now_and_then, 9 tasks that fail every 1.5 s: after 30 s "Expecting actual: 0 to be greater than or equal to: 9" starts in 3 s.

Fix: only failures of tasks that can succeed count.

--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Reports.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Reports.java
@@ -192,12 +192,13 @@
 
   private void failed(Worker worker, Task task, Ended end) {
     Step step = task.step;
-    if (fleet.troubles.failed(worker.id(), step.job.id(), now())) {
-      ports.log().event("worker-aside", worker.id(), "reason", "tasks of several jobs failed");
-    }
     if (step.spec.lasting()) {
+      // Lasting tasks fail at any time and never succeed: their ends say nothing of the worker.
       return;
     }
+    if (fleet.troubles.failed(worker.id(), step.job.id(), now())) {
+      ports.log().event("worker-aside", worker.id(), "reason", "tasks of several jobs failed");
+    }
     if (!task.failedRuns.add(end.run())) {
       ports.log().event("task-failure-known", task.name, "run", end.run());
       return;
--- a/masticspread-cell/src/test/java/org/masticspread/cell/engine/StandstillTest.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/engine/StandstillTest.java
@@ -63,6 +63,10 @@
     accept(id, runs, Jobs.step(tasks, millicores, runs, true));
   }
 
+  private void allFail(boolean fail) {
+    fixture.workers.entries().forEach(e -> fixture.workers.state(e.id()).failsAll = fail);
+  }
+
   private void allRefuse(Outcome outcome) {
     fixture.workers.entries().forEach(e -> fixture.workers.state(e.id()).refusesStarts = outcome);
   }
@@ -159,5 +163,22 @@
       assertThat(fixture.startsOf("long.0.0.0")).isEqualTo(1);
       assertThat(fixture.startsOf("next.0.0.0")).isEqualTo(1);
     }
+
+    @Test
+    void should_start_lasting_tasks_again_that_fail_now_and_then() {
+      // GIVEN
+      allFail(true);
+      for (int i = 0; i < 9; i++) {
+        accept("a" + i, Duration.ofMillis(1500), Jobs.lasting(1, 1000));
+      }
+      pass(30_000);
+
+      // WHEN
+      int before = fixture.workers.starts().size();
+      pass(BOUND_MILLIS);
+
+      // THEN
+      assertThat(fixture.workers.starts().size() - before).isGreaterThanOrEqualTo(9);
+    }
   }
 }
