Hopeless jobs no longer put all workers aside at once

Seen by callers: accepted work stands still for 3 s and more with the whole service idle, after some jobs that can never be done have failed on every worker. Cause: two failures of different jobs put a worker aside for 3, 6, then 12 s, whatever share of the workers that leaves; hopeless jobs go from worker to worker.

Evidence before, StandstillTest.should_start_work_after_hopeless_jobs_have_failed_everywhere, six hopeless jobs on three workers: "Expecting ListN: [] to contain: [next.0.0.0]" after 3 s.

Fix: while more than half of an endpoint's workers are put aside or on probation without progress, they are used all the same. With at most half of them aside, the others are either in use, which is half of the service, or have room. workers-aside-used tells when.

--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Fleet.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Fleet.java
@@ -4,10 +4,13 @@
 import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.masticspread.cell.log.EventLog;
 import org.masticspread.cell.policy.SpeedBook;
 import org.masticspread.cell.policy.TroubleWatch;
@@ -18,9 +21,23 @@
   /** A worker that has not answered for so long gets no new task; its renewals take a second. */
   private static final Duration SILENT = Duration.ofMillis(1600);
 
+  /**
+   * While a larger part of an endpoint's workers is put aside they are used all the same: several
+   * jobs that can never be done are more likely than so many workers in trouble.
+   */
+  private static final double MOST_ASIDE = 0.5;
+
+  private static final Duration BLAME_KEPT = Duration.ofMillis(100);
+
   final SpeedBook speeds = new SpeedBook();
   final TroubleWatch troubles = new TroubleWatch();
   private final Map<String, Worker> workers = new LinkedHashMap<>();
+
+  /** The endpoints whose workers are used though they are put aside, and when that was decided. */
+  private final Set<String> blameless = new HashSet<>();
+
+  private long blamedAtMillis = Long.MIN_VALUE / 2;
+
   private final InstantSource clock;
   private final EventLog log;
 
@@ -85,13 +102,49 @@
     if (now - worker.heardMillis > SILENT.toMillis() || worker.failedRenewals > 0) {
       return false;
     }
-    if (worker.refuses() || !troubles.usable(worker.id(), now)) {
+    return !worker.refuses() && (trusted(worker, now) || blameless(worker.entry.endpoint(), now));
+  }
+
+  /** Tells whether a worker is not put aside, and what it has on probation makes progress. */
+  private boolean trusted(Worker worker, long now) {
+    if (!troubles.usable(worker.id(), now)) {
       return false;
     }
     return !troubles.onProbation(worker.id())
         || worker.runs.values().stream().allMatch(run -> run.proven(now));
   }
 
+  /** Tells whether so many workers of an endpoint are put aside that jobs are to blame. */
+  private boolean blameless(String endpoint, long now) {
+    if (now - blamedAtMillis >= BLAME_KEPT.toMillis()) {
+      blamedAtMillis = now;
+      blame(now);
+    }
+    return blameless.contains(endpoint);
+  }
+
+  private void blame(long now) {
+    Map<String, Integer> all = new HashMap<>();
+    Map<String, Integer> aside = new HashMap<>();
+    for (Worker worker : workers.values()) {
+      if (worker.gone() || worker.entry.draining()) {
+        continue;
+      }
+      String endpoint = worker.entry.endpoint();
+      all.merge(endpoint, 1, Integer::sum);
+      aside.merge(endpoint, trusted(worker, now) ? 0 : 1, Integer::sum);
+    }
+    all.forEach((endpoint, count) -> blame(endpoint, aside.get(endpoint), count));
+  }
+
+  private void blame(String endpoint, int aside, int count) {
+    boolean jobs = aside > MOST_ASIDE * count;
+    boolean changed = jobs ? blameless.add(endpoint) : blameless.remove(endpoint);
+    if (changed) {
+      log.event("workers-aside-used", endpoint, "used", jobs, "aside", aside, "workers", count);
+    }
+  }
+
   /** Tells whether a worker may still run what an earlier epoch started there. */
   boolean unheard() {
     long now = clock.millis();
--- a/masticspread-cell/src/test/java/org/masticspread/cell/engine/StandstillTest.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/engine/StandstillTest.java
@@ -164,6 +164,21 @@
       assertThat(fixture.startsOf("next.0.0.0")).isEqualTo(1);
     }
 
+    @Test
+    void should_start_work_after_hopeless_jobs_have_failed_everywhere() {
+      // GIVEN
+      for (int i = 0; i < 6; i++) {
+        hopeless("a" + i, 4000, "a");
+      }
+      accept("next", 1, 1000, SHORT);
+
+      // WHEN
+      pass(BOUND_MILLIS);
+
+      // THEN
+      assertThat(fixture.workers.succeeded()).contains("next.0.0.0");
+    }
+
     @Test
     void should_start_lasting_tasks_again_that_fail_now_and_then() {
       // GIVEN
