What ran on a worker that was replaced starts elsewhere at once

Seen by callers: after a worker crashed and came back, its tasks and the gangs with a member there stand still for up to 7 s. Cause: the new incarnation answers at the old address that it is another one, which proves that nothing runs there any more; the renewal was counted as failed like one without an answer, so the runs waited for the lease (3.7 s) and, while the registry held the old entry, for 3 s more.

Evidence before, StandstillTest.should_start_elsewhere_at_once_what_ran_on_a_worker_that_was_replaced: "expected: 2L but was: 1L" starts 3 s after the replacement.

Fix: such an answer to a renewal ends all runs of the former incarnation. worker-replaced tells it.

--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Renewals.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Renewals.java
@@ -136,6 +136,9 @@
               now() - worker.heardMillis);
     }
     worker.failedRenewals++;
+    if (outcome == Outcome.OTHER_LIFE) {
+      replaced(worker);
+    }
     if (worker.gone()
         && now() - worker.missingSinceMillis > DROP_AFTER.toMillis()
         && worker.runs.isEmpty()) {
@@ -146,6 +149,17 @@
     ports.timers().after(RENEWAL_PAUSE, () -> renew(worker));
   }
 
+  /** Gives up what ran on a worker at whose address another incarnation answers. */
+  private void replaced(Worker worker) {
+    if (worker.runs.isEmpty()) {
+      return;
+    }
+    ports.log().event("worker-replaced", worker.id(), "runs", worker.runs.size());
+    for (Run run : List.copyOf(worker.runs.values())) {
+      cell.over(run, "worker-replaced");
+    }
+  }
+
   /** Gives up what ran on a worker whose lease has certainly expired. */
   void lapse(Worker worker) {
     if (worker.runs.isEmpty() || now() <= worker.lapsesAtMillis()) {
--- a/masticspread-cell/src/test/java/org/masticspread/cell/engine/StandstillTest.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/engine/StandstillTest.java
@@ -71,6 +71,14 @@
     fixture.workers.entries().forEach(e -> fixture.workers.state(e.id()).refusesStarts = outcome);
   }
 
+  private String placeOf(String task) {
+    return fixture.workers.starts().stream()
+        .filter(start -> start.contains(" " + task + " "))
+        .reduce((first, last) -> last)
+        .orElseThrow()
+        .split(" ")[0];
+  }
+
   private void hopeless(String id, long millicores, String label) {
     fixture.workers.describeHopeless(id);
     accept(id, SHORT, Jobs.labelled(Jobs.step(1, millicores, SHORT, false), label));
@@ -196,4 +204,21 @@
       assertThat(fixture.workers.starts().size() - before).isGreaterThanOrEqualTo(9);
     }
   }
+
+  @Nested
+  class RunsNeverReleased {
+    @Test
+    void should_start_elsewhere_at_once_what_ran_on_a_worker_that_was_replaced() {
+      // GIVEN
+      accept("a", 1, 1000, Duration.ofSeconds(4));
+      pass(1000);
+
+      // WHEN
+      fixture.workers.replace(placeOf("a.0.0.0"));
+      pass(BOUND_MILLIS);
+
+      // THEN
+      assertThat(fixture.startsOf("a.0.0.0")).isEqualTo(2);
+    }
+  }
 }
