A start without an answer is given up once it would come too late

Seen by callers: a task, or a gang with such a member, never starts again while its worker answers renewals and refuses stops. Cause: a start without an answer counted as running until a stop was confirmed or the worker's lease expired; the lease is renewed as long as the worker answers, and an unhealthy worker may refuse stops for long.

A run that is not listed when the worker's clock is past that deadline, and 150 ms more, can begin no more and is over.

--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Launcher.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Launcher.java
@@ -52,6 +52,7 @@
     Task task = run.task;
     Worker worker = run.worker;
     long leaseEnd = worker.leaseEnd(now(), cell.leaseMillis());
+    run.startUntilMillis = leaseEnd;
     worker.leaseUntilMillis = Math.max(worker.leaseUntilMillis, leaseEnd);
     Job job = task.step.job;
     if (job.state == JobState.QUEUED) {
--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Reports.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Reports.java
@@ -227,7 +227,7 @@
     }
     for (Run run : List.copyOf(worker.runs.values())) {
       if (!listed.contains(Worker.key(run.taskName, run.number))) {
-        unlisted(run, sentMillis);
+        unlisted(run, view, sentMillis);
       }
     }
   }
@@ -280,8 +280,11 @@
     return run;
   }
 
-  /** A run that is not listed is over, if it was confirmed before the list was asked for. */
-  private void unlisted(Run run, long sentMillis) {
+  /**
+   * A run that is not listed is over, if it was confirmed before the list was asked for, or if its
+   * start would be refused as too late by then.
+   */
+  private void unlisted(Run run, WorkerView view, long sentMillis) {
     if (run.stopConfirmedMillis >= 0) {
       if (run.stopConfirmedMillis < sentMillis) {
         cell.over(run, "stopped");
@@ -295,6 +298,10 @@
       cell.over(run, "vanished");
       return;
     }
+    if (view.clockMillis() > run.startUntilMillis + Cell.LAPSE_MARGIN.toMillis()) {
+      cell.over(run, "start too late");
+      return;
+    }
     launcher.stop(run, "start has no answer");
   }
 
--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Run.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Run.java
@@ -41,6 +41,9 @@
   /** When the phase began. */
   long sinceMillis;
 
+  /** When its start is refused as too late, on the worker's clock. */
+  long startUntilMillis;
+
   /** How long it is expected to take; 0 if nothing is known. */
   long expectedMillis;
 
--- a/masticspread-cell/src/test/java/org/masticspread/cell/engine/StandstillTest.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/engine/StandstillTest.java
@@ -254,5 +254,19 @@
       // THEN
       assertThat(fixture.startsOf("a.0.0.0")).isEqualTo(2);
     }
+
+    @Test
+    void should_give_up_a_start_without_an_answer_whose_stop_is_refused() {
+      // GIVEN
+      fixture.workers.state("w1").losesNextStart = true;
+      fixture.workers.state("w1").refusesStops = Outcome.UNHEALTHY;
+
+      // WHEN
+      accept("a", 1, 1000, SHORT);
+      pass(LEASE_MILLIS + BOUND_MILLIS);
+
+      // THEN
+      assertThat(fixture.startsOf("a.0.0.0")).isEqualTo(1);
+    }
   }
 }
