A job's first task may take room that a gang keeps for long

Seen by callers: an accepted job stands still for as long as a gang waits, with room for it and under half of the service in use. Cause: a single task starts on room that a gang keeps only if it ends before the gang can start. A gang's first plan is kept whatever its size, so it may cover all workers that the task may use, and wait for one run of a minute.

Evidence before, StandstillTest.should_start_a_long_task_on_room_that_a_gang_keeps_for_long: "expected: 1L but was: 0L" starts after 3 s; the gang would start in 10 s, 2 of 3 workers were idle.

Fix: when nothing of a job has run for 1.5 s after a step's turn came, and more than half of the endpoint's capacity is free, one task of it starts on kept room. The gang plans anew around it. task-takes-kept-room tells it.

--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Job.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Job.java
@@ -36,6 +36,9 @@
 
   boolean durable;
 
+  /** Since when nothing of it runs, as the passes saw it; negative while something does. */
+  long idleSinceMillis = -1;
+
   /** Who waits to hear that the job is stored. */
   final List<Consumer<CellReply>> callers = new ArrayList<>();
 
@@ -96,6 +99,15 @@
     return !open && opened >= order.recurrence().count();
   }
 
+  /** Notes whether anything of it runs at the moment of a pass. */
+  void lookedAt(long nowMillis) {
+    if (occurrences.values().stream().flatMap(List::stream).anyMatch(Step::anyRun)) {
+      idleSinceMillis = -1;
+    } else if (idleSinceMillis < 0) {
+      idleSinceMillis = nowMillis;
+    }
+  }
+
   boolean ready(Step step) {
     for (int earlier : step.spec.after()) {
       Step before = step(step.occurrence, earlier);
--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Scheduler.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Scheduler.java
@@ -26,6 +26,9 @@
 
   private static final int ASKED_AT_LEAST = 8;
 
+  /** A job may stand still for 3 s, advice included, while half of the capacity is free. */
+  private static final Duration LONGEST_IDLE = Duration.ofMillis(1500);
+
   private final CellPorts ports;
   private final JobBook jobs;
   private final Fleet fleet;
@@ -53,6 +56,7 @@
       boolean mayRunElsewhere = unheard && job.epoch < ports.term().epoch();
       Optional<QueueRule> queue = cell.queue(job);
       if (job.durable && !mayRunElsewhere && queue.isPresent()) {
+        job.lookedAt(now);
         collect(job, queue.get(), waiting);
       }
     }
@@ -119,11 +123,11 @@
     Step step = next.step;
     boolean urgent = next.queue.priority() == 0;
     long runs = cell.expectedMillis(next.queue, step.spec);
-    List<Worker> startable = new ArrayList<>();
-    for (Worker worker : approvals.startable(step, next.queue, outlook)) {
-      if (hasRoom(step, worker, runs, outlook)) {
-        startable.add(worker);
-      }
+    List<Worker> allowed = approvals.startable(step, next.queue, outlook);
+    List<Worker> startable = roomy(step, allowed, runs, outlook, false);
+    boolean takesKept = startable.isEmpty() && standsTooLong(next, outlook);
+    if (takesKept) {
+      startable = roomy(step, allowed, runs, outlook, true);
     }
     int left = step.waiting();
     for (Task task : step.tasks) {
@@ -144,22 +148,53 @@
       }
       launcher.start(run, approvals.ticket(step, worker));
       left--;
+      if (takesKept) {
+        long idle = outlook.nowMillis() - step.job.idleSinceMillis;
+        ports.log().event("task-takes-kept-room", task.name, "worker", worker.id(), "idleMs", idle);
+        step.job.idleSinceMillis = -1;
+        takesKept = false;
+        break;
+      }
     }
     if (left > 0 && approvals.mayAsk(step, next.queue)) {
-      List<Worker> roomy = new ArrayList<>();
-      for (Worker worker : outlook.workers(next.queue)) {
-        if (hasRoom(step, worker, runs, outlook)) {
-          roomy.add(worker);
-        }
-      }
+      List<Worker> roomy = roomy(step, outlook.workers(next.queue), runs, outlook, takesKept);
       askForTasks(next, roomy, left);
     }
   }
 
-  private boolean hasRoom(Step step, Worker worker, long runs, Outlook outlook) {
+  /** Returns the workers with room for a task, beside what gangs keep or in place of it. */
+  private List<Worker> roomy(
+      Step step, List<Worker> workers, long runs, Outlook outlook, boolean takesKept) {
+    List<Worker> roomy = new ArrayList<>();
+    for (Worker worker : workers) {
+      if (takesKept ? hasRoom(step, worker) : hasRoom(step, worker, runs, outlook)) {
+        roomy.add(worker);
+      }
+    }
+    return roomy;
+  }
+
+  /**
+   * Tells whether nothing of a job has run for so long that its first task may take room which a
+   * gang keeps. While half of the capacity is in use, its work waits like all other.
+   */
+  private boolean standsTooLong(Waiting next, Outlook outlook) {
+    Job job = next.step.job;
+    long since = Math.max(job.idleSinceMillis, next.step.readyAtMillis);
+    return job.idleSinceMillis >= 0
+        && outlook.nowMillis() - since >= LONGEST_IDLE.toMillis()
+        && 2 * fleet.freeMillicores(next.queue.endpoint())
+            > fleet.capacityMillicores(next.queue.endpoint());
+  }
+
+  private static boolean hasRoom(Step step, Worker worker) {
     return step.spec.booked().fitsIn(worker.free())
         && fits(step, worker)
-        && Placement.slots(worker, step.spec, step.name) > 0
+        && Placement.slots(worker, step.spec, step.name) > 0;
+  }
+
+  private boolean hasRoom(Step step, Worker worker, long runs, Outlook outlook) {
+    return hasRoom(step, worker)
         && outlook.admits(
             worker, step.spec.booked(), now() + (long) (runs * cell.slowdown(worker, step.spec)));
   }
--- a/masticspread-cell/src/test/java/org/masticspread/cell/engine/StandstillTest.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/engine/StandstillTest.java
@@ -295,4 +295,22 @@
       assertThat(fixture.startsOf("a.0.1.0")).isEqualTo(1);
     }
   }
+
+  @Nested
+  class BesideGangsThatWait {
+    @Test
+    void should_start_a_long_task_on_room_that_a_gang_keeps_for_long() {
+      // GIVEN
+      accept("busy", 1, 8000, Duration.ofSeconds(10));
+      gang("gang", 3, 8000, Duration.ofSeconds(1));
+
+      // WHEN
+      accept("next", 2, 1000, LONG);
+      pass(BOUND_MILLIS);
+
+      // THEN
+      assertThat(fixture.startsOf("next.0.0.0")).isEqualTo(1);
+      assertThat(fixture.startsOf("next.0.0.1")).isZero();
+    }
+  }
 }
