A start without an answer is settled at the next renewal

Seen by callers: a task whose start got no answer stands still for up to 2.4 s, and for 3.8 s if the next start got none either. Cause: the run is over when a list that was asked for after the confirmed stop does not show it, but the renewal sent beside the stop waited up to a second for an end at the worker, and so did the one before it.

Evidence before, StandstillTest.should_start_anew_after_two_starts_without_an_answer: "Expecting actual: 3830L to be less than or equal to: 3000L".

Fix: while a start at a worker has no answer, renewals there don't wait. They come 250 ms apart, or as soon as the stop is confirmed.

--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Renewals.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Renewals.java
@@ -15,7 +15,7 @@
   /** A worker answers a renewal after this, if no task ends before: three renewals in a lease. */
   private static final Duration RENEWAL_WAIT = Duration.ofMillis(1000);
 
-  /** Between renewals that do not wait: failed ones, or with ends that are not durable yet. */
+  /** Between renewals that do not wait: failed ones, or with ends or starts not settled yet. */
   private static final Duration RENEWAL_PAUSE = Duration.ofMillis(250);
 
   /** A task whose percentage has not changed for so long stands still. */
@@ -54,10 +54,7 @@
     }
     worker.renewing = true;
     boolean wait =
-        !worker.renewSoon
-            && worker.heard
-            && worker.failedRenewals == 0
-            && worker.seenEnd == worker.acknowledgedEnd;
+        !worker.renewSoon && worker.heard && worker.failedRenewals == 0 && settled(worker);
     worker.renewSoon = false;
     OptionalLong leaseEnd = OptionalLong.empty();
     if (worker.heard && worker.failedRenewals == 0) {
@@ -109,14 +106,20 @@
     if (first || regained) {
       cell.requestPass();
     }
-    if (worker.renewSoon || first || worker.seenEnd == worker.acknowledgedEnd) {
+    if (worker.renewSoon || first || settled(worker)) {
       renew(worker);
     } else {
-      // Until the ends are durable, the worker would answer at once again and again.
+      // The worker would answer at once again and again.
       ports.timers().after(RENEWAL_PAUSE, () -> renew(worker));
     }
   }
 
+  /** Tells whether its ends are durable, and all its starts have an answer or are listed. */
+  private static boolean settled(Worker worker) {
+    return worker.seenEnd == worker.acknowledgedEnd
+        && worker.runs.values().stream().noneMatch(run -> run.phase == Run.Phase.UNSURE);
+  }
+
   private boolean fleetHas(Worker worker) {
     return fleet.find(worker.id()).filter(known -> known == worker).isPresent();
   }
--- a/masticspread-cell/src/test/java/org/masticspread/cell/engine/StandstillTest.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/engine/StandstillTest.java
@@ -270,6 +270,26 @@
       assertThat(fixture.startsOf("a.0.0.0")).isEqualTo(2);
     }
 
+    @Test
+    void should_start_anew_after_two_starts_without_an_answer() {
+      for (int i = 0; i < 8; i++) {
+        // GIVEN
+        fixture.workers.entries().forEach(e -> fixture.workers.state(e.id()).losesNextStart = true);
+        pass(137 * i);
+
+        // WHEN
+        String task = "a" + i + ".0.0.0";
+        accept("a" + i, 1, 1000, SHORT);
+        long accepted = fixture.time.millis();
+        while (fixture.startsOf(task) == 0) {
+          pass(10);
+        }
+
+        // THEN
+        assertThat(fixture.time.millis() - accepted).isLessThanOrEqualTo(BOUND_MILLIS);
+      }
+    }
+
     @Test
     void should_give_up_a_start_without_an_answer_whose_stop_is_refused() {
       // GIVEN
