--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Launcher.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Launcher.java
@@ -2,7 +2,9 @@
 
 import com.codahale.metrics.MetricRegistry;
 import java.time.Duration;
+import java.util.EnumSet;
 import java.util.Locale;
+import java.util.Set;
 import org.masticspread.cell.policy.OwnDelay;
 import org.masticspread.cell.port.WorkerPort.OrderResult;
 import org.masticspread.cell.port.WorkerPort.Outcome;
@@ -14,6 +16,10 @@
   /** Between two attempts to stop a run: a worker answers within a few ms when it is reached. */
   private static final Duration STOP_RETRY = Duration.ofMillis(250);
 
+  /** Refusals that another worker would not give. */
+  private static final Set<Outcome> OF_THE_WORKER =
+      EnumSet.of(Outcome.UNHEALTHY, Outcome.NOT_SENT, Outcome.NO_ROOM, Outcome.OTHER_LIFE);
+
   private final CellPorts ports;
   private final Fleet fleet;
   private final Cell cell;
@@ -46,6 +52,7 @@
     Task task = run.task;
     Worker worker = run.worker;
     long leaseEnd = worker.leaseEnd(now(), cell.leaseMillis());
+    run.startUntilMillis = leaseEnd;
     worker.leaseUntilMillis = Math.max(worker.leaseUntilMillis, leaseEnd);
     Job job = task.step.job;
     if (job.state == JobState.QUEUED) {
@@ -128,13 +135,14 @@
             run.worker.id(),
             "reason",
             outcome);
-    if (outcome == Outcome.UNHEALTHY || outcome == Outcome.NOT_SENT) {
+    if (outcome == Outcome.UNHEALTHY) {
       fleet.troubles.failed(run.worker.id(), run.task.step.job.id(), now());
     }
     if (outcome == Outcome.NO_TICKET) {
       run.task.step.approvals.remove(run.worker.id());
     }
-    if (outcome == Outcome.NO_ROOM || outcome == Outcome.OTHER_LIFE) {
+    if (OF_THE_WORKER.contains(outcome)) {
+      run.worker.refusedMillis = now();
       run.worker.renewSoon = true;
       cell.renew(run.worker);
     }
--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Reports.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Reports.java
@@ -56,6 +56,7 @@
     }
     worker.readClock(view.clockMillis(), now());
     worker.heardMillis = now();
+    worker.renewedMillis = sentMillis;
     takeEnds(worker, view);
     takeRunning(worker, view, sentMillis);
   }
@@ -191,12 +192,13 @@
 
   private void failed(Worker worker, Task task, Ended end) {
     Step step = task.step;
-    if (fleet.troubles.failed(worker.id(), step.job.id(), now())) {
-      ports.log().event("worker-aside", worker.id(), "reason", "tasks of several jobs failed");
-    }
     if (step.spec.lasting()) {
+      // Lasting tasks fail at any time and never succeed: their ends say nothing of the worker.
       return;
     }
+    if (fleet.troubles.failed(worker.id(), step.job.id(), now())) {
+      ports.log().event("worker-aside", worker.id(), "reason", "tasks of several jobs failed");
+    }
     if (!task.failedRuns.add(end.run())) {
       ports.log().event("task-failure-known", task.name, "run", end.run());
       return;
@@ -225,7 +227,7 @@
     }
     for (Run run : List.copyOf(worker.runs.values())) {
       if (!listed.contains(Worker.key(run.taskName, run.number))) {
-        unlisted(run, sentMillis);
+        unlisted(run, view, sentMillis);
       }
     }
   }
@@ -278,8 +280,11 @@
     return run;
   }
 
-  /** A run that is not listed is over, if it was confirmed before the list was asked for. */
-  private void unlisted(Run run, long sentMillis) {
+  /**
+   * A run that is not listed is over, if it was confirmed before the list was asked for, or if its
+   * start would be refused as too late by then.
+   */
+  private void unlisted(Run run, WorkerView view, long sentMillis) {
     if (run.stopConfirmedMillis >= 0) {
       if (run.stopConfirmedMillis < sentMillis) {
         cell.over(run, "stopped");
@@ -293,6 +298,10 @@
       cell.over(run, "vanished");
       return;
     }
+    if (view.clockMillis() > run.startUntilMillis + Cell.LAPSE_MARGIN.toMillis()) {
+      cell.over(run, "start too late");
+      return;
+    }
     launcher.stop(run, "start has no answer");
   }
 
