--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Fleet.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Fleet.java
@@ -96,25 +96,13 @@
 
   boolean usable(Worker worker) {
     long now = clock.millis();
-    return reachable(worker, now)
-        && (trusted(worker, now) || blameless(worker.entry.endpoint(), now));
-  }
-
-  /** Returns the workers of an endpoint that take tasks, also those that are put aside. */
-  List<Worker> reachable(String endpoint) {
-    long now = clock.millis();
-    return workers.values().stream()
-        .filter(worker -> worker.entry.endpoint().equals(endpoint) && reachable(worker, now))
-        .toList();
-  }
-
-  private static boolean reachable(Worker worker, long now) {
-    return worker.heard
-        && !worker.gone()
-        && !worker.entry.draining()
-        && !worker.refuses()
-        && worker.failedRenewals == 0
-        && now - worker.heardMillis <= SILENT.toMillis();
+    if (!worker.heard || worker.gone() || worker.entry.draining()) {
+      return false;
+    }
+    if (now - worker.heardMillis > SILENT.toMillis() || worker.failedRenewals > 0) {
+      return false;
+    }
+    return !worker.refuses() && (trusted(worker, now) || blameless(worker.entry.endpoint(), now));
   }
 
   /** Tells whether a worker is not put aside, and what it has on probation makes progress. */
--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Scheduler.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Scheduler.java
@@ -123,13 +123,10 @@
     long runs = cell.expectedMillis(next.queue, step.spec);
     List<Worker> allowed = approvals.startable(step, next.queue, outlook);
     List<Worker> startable = roomy(step, allowed, runs, outlook, false);
-    boolean inNeed = startable.isEmpty() && standsTooLong(next, outlook);
-    if (inNeed) {
+    boolean takesKept = startable.isEmpty() && standsTooLong(next, outlook);
+    if (takesKept) {
       startable = roomy(step, allowed, runs, outlook, true);
     }
-    if (inNeed && startable.isEmpty()) {
-      startable = roomy(step, allowedInNeed(next, outlook), runs, outlook, true);
-    }
     int left = step.waiting();
     for (Task task : step.tasks) {
       if (!task.waiting()) {
@@ -149,46 +146,35 @@
       }
       launcher.start(run, approvals.ticket(step, worker));
       left--;
-      if (inNeed) {
+      if (takesKept) {
         long idle = outlook.nowMillis() - step.job.idleSinceMillis;
-        ports.log().event("task-starts-in-need", task.name, "worker", worker.id(), "idleMs", idle);
+        ports.log().event("task-takes-kept-room", task.name, "worker", worker.id(), "idleMs", idle);
         step.job.idleSinceMillis = -1;
-        inNeed = false;
+        takesKept = false;
         break;
       }
     }
     if (left > 0 && approvals.mayAsk(step, next.queue)) {
-      List<Worker> workers =
-          inNeed ? fleet.reachable(next.queue.endpoint()) : outlook.workers(next.queue);
-      List<Worker> roomy = roomy(step, workers, runs, outlook, inNeed);
+      List<Worker> roomy = roomy(step, outlook.workers(next.queue), runs, outlook, takesKept);
       askForTasks(next, roomy, left);
     }
   }
 
-  /** Returns the workers with room for a task: in need, what gangs keep counts as room. */
+  /** Returns the workers with room for a task, beside what gangs keep or in place of it. */
   private List<Worker> roomy(
-      Step step, List<Worker> workers, long runs, Outlook outlook, boolean inNeed) {
+      Step step, List<Worker> workers, long runs, Outlook outlook, boolean takesKept) {
     List<Worker> roomy = new ArrayList<>();
     for (Worker worker : workers) {
-      if (inNeed ? hasRoom(step, worker) : hasRoom(step, worker, runs, outlook)) {
+      if (takesKept ? hasRoom(step, worker) : hasRoom(step, worker, runs, outlook)) {
         roomy.add(worker);
       }
     }
     return roomy;
   }
 
-  /** Returns the workers that a step may use, also those that are put aside. */
-  private List<Worker> allowedInNeed(Waiting next, Outlook outlook) {
-    List<Worker> allowed = new ArrayList<>(fleet.reachable(next.queue.endpoint()));
-    allowed.removeIf(
-        worker -> !approvals.startable(next.step, next.queue, worker, outlook.nowMillis()));
-    return allowed;
-  }
-
   /**
    * Tells whether nothing of a job has run for so long that its first task may take room which a
-   * gang keeps, or of a worker that is put aside. While half of the capacity is in use, its work
-   * waits like all other.
+   * gang keeps. While half of the capacity is in use, its work waits like all other.
    */
   private boolean standsTooLong(Waiting next, Outlook outlook) {
     Job job = next.step.job;
