--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Cell.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Cell.java
@@ -49,12 +49,6 @@
    */
   private static final Duration LEASE = Duration.ofMillis(3500);
 
-  /**
-   * An earlier leader notices within this that workers or the store refuse it: it writes, and hears
-   * each worker, once a second.
-   */
-  private static final Duration DEPOSED_WITHIN = Duration.ofMillis(1500);
-
   /** How often expired leases, standing tasks and due occurrences are looked for. */
   private static final Duration TICK = Duration.ofMillis(100);
 
@@ -110,10 +104,6 @@
   private boolean paused;
   private boolean passScheduled;
   private long ticks;
-
-  /** When the first worker was registered, and so fenced; negative before. */
-  private long firstRegisteredMillis = -1;
-
   private double passMillis;
 
   /** Calls about jobs that may have ended under an earlier leader. */
@@ -271,20 +261,12 @@
         worker -> {
           // An earlier leader may have renewed its lease until just before it was deposed.
           long lease = (long) (leaseMillis() * SLOWEST_CLOCK) + 2 * LAPSE_MARGIN.toMillis();
-          worker.unheardUntilMillis = Math.min(now(), deposedMillis()) + lease;
+          worker.unheardUntilMillis = now() + lease;
           renew(worker);
         });
     requestPass();
   }
 
-  /** Returns when an earlier leader has noticed that it is deposed, and gives no more leases. */
-  private long deposedMillis() {
-    if (firstRegisteredMillis < 0) {
-      firstRegisteredMillis = now();
-    }
-    return firstRegisteredMillis + DEPOSED_WITHIN.toMillis();
-  }
-
   /**
    * Takes in that an entry has left the registry.
    *
