--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Renewals.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Renewals.java
@@ -23,9 +23,9 @@
 
   /**
    * A worker that is silent but registered is waited for so long after its lease: what has probably
-   * ended there would be run twice. Work may stand still for 3 s, and needs time to start anew.
+   * ended there would be run twice.
    */
-  private static final Duration REPORT_AWAITED = Duration.ofMillis(2500);
+  private static final Duration REPORT_AWAITED = Duration.ofMillis(3000);
 
   /** Most runs take longer than this part of what is expected. */
   private static final double USUAL_PART = 0.8;
