--- a/masticspread-cell/src/test/java/org/masticspread/cell/engine/StandstillTest.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/engine/StandstillTest.java
@@ -272,6 +272,7 @@
       assertThat(fixture.startsOf("a.0.0.0")).isEqualTo(1);
     }
   }
+
   @Nested
   class BesideGangsThatWait {
     @Test
