A worker whose registry entry has lapsed is known to the next leader

Cause: the registry drops the entry of a living worker while writes to the store are lost. The leader of that moment goes on renewing the worker. The next one reads the registry, never learns of the worker, neither waits for its lease nor asks what runs there, and starts its tasks elsewhere.

Why this works: the store lists each worker (id, address, capacity) before it gets its first task. The commit is conditional on the leader's row, so a new leader, which reads the list after it has won, finds every worker that an earlier one can have used. It asks those that the registry does not name like the others: what runs there is taken over, and tasks of older jobs wait until the worker has answered or its lease has certainly expired. A worker that has left is dropped from the list once nothing can run on it, so that takeovers do not wait for it.

The fakes of the store and of the registry now show dropped rows.

--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Cell.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Cell.java
@@ -10,6 +10,7 @@
 import java.util.function.Consumer;
 import org.masticspread.cell.journal.JobRecord;
 import org.masticspread.cell.journal.ProgressRecord;
+import org.masticspread.cell.journal.UsedWorkersRecord;
 import org.masticspread.cell.policy.Admission;
 import org.masticspread.cell.policy.Placement;
 import org.masticspread.cell.policy.Shedding;
@@ -98,6 +99,7 @@
   private final Scheduler scheduler;
   private final Renewals renewals;
   private final Backlog backlog;
+  private final UsedWorkers usedWorkers;
   private final Shedding shedding = new Shedding();
   private CellConfig config;
   private boolean closed;
@@ -126,6 +128,7 @@
     this.config = config;
     this.whenFenced = whenFenced;
     this.fleet = new Fleet(ports.clock(), ports.log());
+    this.usedWorkers = new UsedWorkers(ports, fleet, this);
     this.jobs = new JobBook(ports);
     this.launcher = new Launcher(ports, fleet, this);
     Reports reports = new Reports(ports, jobs, fleet, this, launcher);
@@ -154,6 +157,20 @@
     jobs.restoreEnded(id, state);
   }
 
+  /**
+   * Takes over the workers that earlier leaders may have used. Only before {@link #begin}, and
+   * after the registry was read.
+   *
+   * @param record the workers
+   */
+  public void restoreWorkers(UsedWorkersRecord record) {
+    for (UsedWorkersRecord.Used used : record.workers()) {
+      if (usedWorkers.restore(used)) {
+        fleet.find(used.id()).ifPresent(this::ask);
+      }
+    }
+  }
+
   /** Tells that all jobs that ended under earlier leaders are known; unknown ones are new. */
   public void endedKnown() {
     endedKnown = true;
@@ -164,6 +181,7 @@
 
   /** Starts to work. */
   public void begin() {
+    usedWorkers.begin();
     tick();
   }
 
@@ -257,16 +275,19 @@
    */
   public void register(WorkerEntry entry) {
     Optional<Worker> added = fleet.register(entry);
-    added.ifPresent(
-        worker -> {
-          // An earlier leader may have renewed its lease until just before it was deposed.
-          long lease = (long) (leaseMillis() * SLOWEST_CLOCK) + 2 * LAPSE_MARGIN.toMillis();
-          worker.unheardUntilMillis = now() + lease;
-          renew(worker);
-        });
+    added.ifPresent(this::ask);
+    fleet.find(entry.id()).ifPresent(usedWorkers::list);
     requestPass();
   }
 
+  /** Asks a worker for the first time what it runs. */
+  private void ask(Worker worker) {
+    // An earlier leader may have renewed its lease until just before it was deposed.
+    long lease = (long) (leaseMillis() * SLOWEST_CLOCK) + 2 * LAPSE_MARGIN.toMillis();
+    worker.unheardUntilMillis = now() + lease;
+    renew(worker);
+  }
+
   /**
    * Takes in that an entry has left the registry.
    *
@@ -607,6 +628,7 @@
     for (Worker worker : List.copyOf(fleet.all())) {
       renewals.lapse(worker);
       renewals.findStanding(worker);
+      usedWorkers.review(worker);
     }
   }
 
--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Fleet.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Fleet.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.masticspread.cell.journal.UsedWorkersRecord.Used;
 import org.masticspread.cell.log.EventLog;
 import org.masticspread.cell.policy.SpeedBook;
 import org.masticspread.cell.policy.TroubleWatch;
@@ -53,6 +54,17 @@
     return Optional.empty();
   }
 
+  /** Adds a worker that an earlier leader used and that the registry does not name. */
+  void addMissing(Used used) {
+    WorkerEntry entry =
+        new WorkerEntry(
+            used.id(), "", used.address(), "", "", List.of(), used.capacity(), false, 0, "");
+    Worker worker = new Worker(entry, speeds);
+    worker.missingSinceMillis = clock.millis();
+    workers.put(used.id(), worker);
+    log.event("worker-entry-missing", used.id(), "address", used.address());
+  }
+
   void unregister(String id) {
     Worker worker = workers.get(id);
     if (worker != null && !worker.gone()) {
@@ -78,6 +90,10 @@
   }
 
   boolean usable(Worker worker) {
+    return worker.listed() && healthy(worker);
+  }
+
+  private boolean healthy(Worker worker) {
     long now = clock.millis();
     if (!worker.heard || worker.gone() || worker.entry.draining()) {
       return false;
@@ -108,11 +124,11 @@
     return (long) sum;
   }
 
-  /** A new leader has heard no worker yet, and does not take this for a lack of room. */
+  /** A new leader has heard and listed no worker yet, and does not take this for a lack of room. */
   private boolean countedOn(Worker worker) {
     boolean expected =
         !worker.heard && !worker.gone() && clock.millis() < worker.unheardUntilMillis;
-    return expected || usable(worker);
+    return expected || healthy(worker);
   }
 
   /** Returns the part of the usable capacity that is free, in thousandths. */
--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Renewals.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Renewals.java
@@ -138,6 +138,7 @@
     worker.failedRenewals++;
     if (worker.gone()
         && now() - worker.missingSinceMillis > DROP_AFTER.toMillis()
+        && worker.listingAddress.isEmpty()
         && worker.runs.isEmpty()) {
       ports.log().event("worker-dropped", worker.id());
       fleet.remove(worker);
--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Worker.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Worker.java
@@ -67,6 +67,15 @@
   /** Whether the latest pass saw a gang wait for its room. */
   boolean awaited;
 
+  /** The address under which the store lists it as used; empty if it does not. */
+  String listedAddress = "";
+
+  /** The address under which it is listed, or will be with a coming commit; empty if not. */
+  String listingAddress = "";
+
+  /** The number of the latest listing, so that only this one takes effect. */
+  long listing;
+
   /** When all that ran on it has certainly lapsed, if it never answered this epoch. */
   long unheardUntilMillis;
 
@@ -130,6 +139,11 @@
     return clockReadMillis + (long) left + Cell.LAPSE_MARGIN.toMillis();
   }
 
+  /** Tells whether a later leader would find it without the registry. */
+  boolean listed() {
+    return listedAddress.equals(entry.address());
+  }
+
   boolean gone() {
     return missingSinceMillis >= 0;
   }
--- a/masticspread-cell/src/main/java/org/masticspread/cell/journal/Rows.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/journal/Rows.java
@@ -37,6 +37,9 @@
   /** Holds how each job ended that is still shown. */
   public static final String ENDED_TABLE = "ended";
 
+  /** Holds the workers on which a leader may have started tasks, in a few rows. */
+  public static final String USED_WORKER_TABLE = "used-workers";
+
   /** The row that names the leader. */
   public static final RowName LEADER = new RowName(LEADER_TABLE, "leader");
 
--- a/masticspread-cell/src/main/java/org/masticspread/cell/lead/CellLoader.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/lead/CellLoader.java
@@ -14,6 +14,7 @@
 import org.masticspread.cell.journal.JobRecord;
 import org.masticspread.cell.journal.ProgressRecord;
 import org.masticspread.cell.journal.Rows;
+import org.masticspread.cell.journal.UsedWorkersRecord;
 import org.masticspread.cell.log.EventLog;
 import org.masticspread.cell.port.RowPage;
 import org.masticspread.cell.port.TablePort;
@@ -22,7 +23,8 @@
 import org.masticspread.model.result.InvalidFieldException;
 
 /**
- * Reads the jobs that earlier leaders accepted. Reads again until the store answers.
+ * Reads the jobs that earlier leaders accepted and the workers that they used. Reads again until
+ * the store answers.
  *
  * <p>Reads small pages first, and larger ones as long as they come quickly, so that what a new
  * leader reads does not hold up its answers to probes on a slow link.
@@ -62,20 +64,29 @@
    */
   record Stored(JobRecord record, Optional<ProgressRecord> progress) {}
 
+  /**
+   * What earlier leaders stored.
+   *
+   * @param jobs the jobs that have not ended
+   * @param workers the workers that they may have used
+   */
+  record Loaded(List<Stored> jobs, List<UsedWorkersRecord> workers) {}
+
   /** Counts the rows that were read so far. */
   long rowsRead() {
     return rowsRead;
   }
 
-  /** Reads all jobs; the consumer is not called once they are not wanted any more. */
-  void load(Consumer<List<Stored>> loaded) {
+  /** Reads all jobs and workers; the consumer is not called once they are not wanted any more. */
+  void load(Consumer<Loaded> loaded) {
     Map<String, ProgressRecord> progress = new HashMap<>();
     List<JobRecord> jobs = new ArrayList<>();
-    int[] open = {2};
+    List<UsedWorkersRecord> workers = new ArrayList<>();
+    int[] open = {3};
     Runnable done =
         () -> {
           if (--open[0] == 0) {
-            loaded.accept(join(jobs, progress));
+            loaded.accept(new Loaded(join(jobs, progress), workers));
           }
         };
     readAll(
@@ -83,6 +94,10 @@
         row -> decode(ProgressRecord.class, row).ifPresent(p -> progress.put(row.key(), p)),
         done);
     readAll(Rows.JOB_TABLE, row -> decode(JobRecord.class, row).ifPresent(jobs::add), done);
+    readAll(
+        Rows.USED_WORKER_TABLE,
+        row -> decode(UsedWorkersRecord.class, row).ifPresent(workers::add),
+        done);
   }
 
   /** Reads how the jobs ended that have; the action is not run once they are not wanted. */
--- a/masticspread-cell/src/main/java/org/masticspread/cell/lead/Vm.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/lead/Vm.java
@@ -484,7 +484,7 @@
             });
     registry = Optional.of(workers);
     workers.start();
-    loader.load(jobs -> loaded(term, loader, jobs, early, begun));
+    loader.load(stored -> loaded(term, loader, stored, early, begun));
   }
 
   private record WorkersRead(List<TableRow> rows, boolean all) {}
@@ -493,14 +493,14 @@
   private void loaded(
       Term term,
       CellLoader loader,
-      List<CellLoader.Stored> jobs,
+      CellLoader.Loaded stored,
       List<WorkersRead> workers,
       long begun) {
     if (leadership.epoch() != term.epoch()) {
       return;
     }
     if (config.isEmpty() || workers.isEmpty()) {
-      ports.timers().after(LOAD_PAUSE, () -> loaded(term, loader, jobs, workers, begun));
+      ports.timers().after(LOAD_PAUSE, () -> loaded(term, loader, stored, workers, begun));
       return;
     }
     Journal fresh =
@@ -521,10 +521,11 @@
                 ports.meter()),
             config.get(),
             leadership::fenced);
-    jobs.forEach(job -> next.restore(job.record(), job.progress()));
+    stored.jobs().forEach(job -> next.restore(job.record(), job.progress()));
     journal = Optional.of(fresh);
     watchCommits(fresh);
     workers.forEach(read -> readWorkers(next, read.rows(), read.all()));
+    stored.workers().forEach(next::restoreWorkers);
     cell = Optional.of(next);
     next.begin();
     loader.loadEnded(
@@ -537,7 +538,7 @@
             "epoch",
             term.epoch(),
             "jobs",
-            jobs.size(),
+            stored.jobs().size(),
             "tookMs",
             ports.clock().millis() - begun);
   }
--- a/masticspread-cell/src/test/java/org/masticspread/cell/engine/CellTest.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/engine/CellTest.java
@@ -693,4 +693,85 @@
       assertThat(replies).extracting(CellReply::waiting).containsExactly(1);
     }
   }
+
+  @Nested
+  class UsedWorkersList {
+    @Test
+    void should_start_nothing_on_a_worker_that_a_later_leader_would_not_know() {
+      // GIVEN
+      fixture.accept(job("a", 4, 4000, LONG, false));
+      pass(100);
+      fixture.table.always(Fate.REFUSED);
+      fixture.workers.add("w4", "r2", 4000);
+
+      // WHEN
+      fixture.workers.entries().forEach(fixture.cell::register);
+      pass(1000);
+      final List<String> unlisted = List.copyOf(fixture.workers.starts());
+      fixture.table.always(Fate.DONE);
+      pass(300);
+
+      // THEN
+      assertThat(unlisted).noneMatch(start -> start.startsWith("w4"));
+      assertThat(fixture.workers.starts()).anyMatch(start -> start.startsWith("w4"));
+    }
+
+    @Test
+    void should_hold_back_nothing_after_a_takeover_for_a_worker_that_left_empty() {
+      // GIVEN
+      fixture.lapsed.add("w1");
+      fixture.workers.state("w1").silent = true;
+      fixture.cell.unregister("w1");
+      pass(200);
+      fixture.accept(job("a", 3, 4000, LONG, false));
+      pass(100);
+      fixture.workers.add("w4", "r2", 4000);
+
+      // WHEN
+      fixture.lead();
+      pass(100);
+
+      // THEN
+      assertThat(fixture.workers.starts()).anyMatch(start -> start.startsWith("w4"));
+    }
+
+    @Test
+    void should_take_back_a_worker_whose_entry_returns() {
+      // GIVEN
+      fixture.accept(job("a", 1, 4000, SHORT, false));
+      fixture.lapsed.add("w1");
+      fixture.cell.unregister("w1");
+      pass(1000);
+
+      // WHEN
+      fixture.workers.entries().forEach(fixture.cell::register);
+      pass(100);
+      fixture.accept(job("b", 3, 4000, LONG, false));
+      pass(100);
+
+      // THEN
+      assertThat(fixture.workers.starts()).anyMatch(start -> start.startsWith("w1 b"));
+    }
+
+    @Test
+    void should_not_be_written_again_by_a_later_leader() {
+      // GIVEN
+      final long writes = listWrites();
+
+      // WHEN
+      fixture.lead();
+      pass(1000);
+
+      // THEN
+      assertThat(writes).isPositive();
+      assertThat(listWrites()).isEqualTo(writes);
+    }
+
+    private long listWrites() {
+      return fixture.table.commits().stream()
+          .flatMap(commit -> commit.puts().stream())
+          .filter(put -> put.row().table().equals(Rows.USED_WORKER_TABLE))
+          .count();
+    }
+  }
 }
--- a/masticspread-cell/src/test/java/org/masticspread/cell/lead/VmTest.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/lead/VmTest.java
@@ -283,4 +283,46 @@
       assertThat(cluster.leaders()).containsExactly("vm-2");
     }
   }
+
+  @Nested
+  class RegistryEntryLapsed {
+    private String task;
+    private String worker;
+
+    @BeforeEach
+    void lapseWhereTaskRuns() {
+      cluster.call("vm-1", Action.SUBMIT, "a", job("a", 6000));
+      pass(300);
+      String[] start = cluster.workers.starts().get(0).split(" ");
+      worker = start[0];
+      task = start[1];
+      cluster.lapse(worker);
+      pass(300);
+    }
+
+    @Test
+    void should_not_start_elsewhere_after_a_takeover_what_still_runs_there() {
+      // WHEN
+      cluster.kill("vm-2");
+      pass(10_000);
+
+      // THEN
+      assertThat(cluster.workers.starts()).filteredOn(start -> start.contains(task)).hasSize(1);
+      assertThat(state("vm-1", "a")).isEqualTo(JobState.SUCCEEDED);
+    }
+
+    @Test
+    void should_wait_for_its_lease_when_it_does_not_answer_the_new_leader() {
+      // GIVEN
+      cluster.workers.state(worker).silent = true;
+
+      // WHEN
+      cluster.kill("vm-2");
+      pass(15_000);
+
+      // THEN
+      assertThat(cluster.workers.starts()).filteredOn(start -> start.contains(task)).hasSize(2);
+      assertThat(state("vm-1", "a")).isEqualTo(JobState.SUCCEEDED);
+    }
+  }
 }
--- a/masticspread-cell/src/test/java/org/masticspread/cell/testing/CellFixture.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/testing/CellFixture.java
@@ -4,8 +4,10 @@
 import io.reactivex.rxjava3.core.Single;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import org.masticspread.cell.engine.Advice;
 import org.masticspread.cell.engine.AdviceDesk;
 import org.masticspread.cell.engine.Cell;
@@ -19,12 +21,14 @@
 import org.masticspread.cell.journal.ProgressRecord;
 import org.masticspread.cell.journal.Rows;
 import org.masticspread.cell.journal.Term;
+import org.masticspread.cell.journal.UsedWorkersRecord;
 import org.masticspread.cell.load.LoadMeter;
 import org.masticspread.cell.log.EventLog;
 import org.masticspread.cell.port.TableCommit;
 import org.masticspread.cell.port.TableCommit.Put;
 import org.masticspread.cell.port.TableCommit.RowName;
 import org.masticspread.cell.port.TableRow;
+import org.masticspread.cell.port.WorkerEntry;
 import org.masticspread.model.cell.CellConfig;
 import org.masticspread.model.cell.JobOrder;
 import org.masticspread.model.cell.JobState;
@@ -64,6 +68,9 @@
   /** Whether {@link #events} is filled; long runs switch it off. */
   public boolean keepEvents = true;
 
+  /** The workers that the registry does not name to a new leader. */
+  public final Set<String> lapsed = new HashSet<>();
+
   private long epoch;
 
   /** Creates a fixture without a leader, and an advisor that approves all after 10 ms. */
@@ -161,7 +168,12 @@
             config,
             () -> fenced = true);
     restore();
-    workers.entries().forEach(cell::register);
+    for (WorkerEntry entry : workers.entries()) {
+      if (!lapsed.contains(entry.id())) {
+        cell.register(entry);
+      }
+    }
+    restoreWorkers();
     cell.begin();
     if (readsEnded) {
       cell.endedKnown();
@@ -169,6 +181,16 @@
     return this;
   }
 
+  private void restoreWorkers() {
+    for (TableRow row : table.rowsOf(Rows.USED_WORKER_TABLE)) {
+      try {
+        cell.restoreWorkers(Rows.decode(UsedWorkersRecord.class, row.value()));
+      } catch (InvalidFieldException e) {
+        throw new AssertionError(e);
+      }
+    }
+  }
+
   private static AdviceReply approveAll(List<String> ids) {
     return new AdviceReply(
         true, ids.stream().map(id -> new AdviceReply.Ticket(id, "t-" + id)).toList(), 2000);
--- a/masticspread-cell/src/test/java/org/masticspread/cell/testing/FakeTable.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/testing/FakeTable.java
@@ -4,11 +4,13 @@
 import io.reactivex.rxjava3.core.SingleEmitter;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.function.Predicate;
+import java.util.stream.Stream;
 import org.masticspread.cell.port.CommitResult;
 import org.masticspread.cell.port.CommitResult.Kind;
 import org.masticspread.cell.port.RowPage;
@@ -42,6 +44,10 @@
 
   private final VirtualTime time;
   private final Map<String, TableRow> rows = new TreeMap<>();
+
+  /** The rows that were dropped, as those that follow their table see them. */
+  private final Map<String, TableRow> dropped = new TreeMap<>();
+
   private final List<Fate> fates = new ArrayList<>();
   private final List<TableCommit> commits = new ArrayList<>();
   private Fate fate = Fate.DONE;
@@ -127,14 +133,22 @@
     version++;
     for (Put put : commit.puts()) {
       RowName name = put.row();
+      dropped.remove(key(name));
       rows.put(
           key(name),
           new TableRow(name.table(), commit.part(), name.key(), put.value(), version, false));
     }
-    commit.removals().forEach(name -> rows.remove(key(name)));
+    commit.removals().forEach(name -> drop(name, commit.part()));
     return new CommitResult(Kind.DONE, version, List.of());
   }
 
+  private void drop(RowName name, String part) {
+    if (rows.remove(key(name)) != null) {
+      dropped.put(
+          key(name), new TableRow(name.table(), part, name.key(), new byte[0], version, true));
+    }
+  }
+
   @Override
   public Single<RowPage> read(String table, String part, String from, int limit) {
     List<TableRow> found =
@@ -161,8 +175,9 @@
       return;
     }
     List<TableRow> changes =
-        rows.values().stream()
+        Stream.concat(rows.values().stream(), dropped.values().stream())
             .filter(row -> row.table().equals(table) && row.version() > after)
+            .sorted(Comparator.comparingLong(TableRow::version))
             .toList();
     if (!changes.isEmpty() || time.millis() >= until) {
       emitter.onSuccess(new RowPage(changes, false, version));
--- a/masticspread-cell/src/test/java/org/masticspread/cell/testing/VmCluster.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/testing/VmCluster.java
@@ -73,6 +73,7 @@
   private final Map<String, Member> members = new LinkedHashMap<>();
   private final Set<String> cutFromStore = new HashSet<>();
   private final Set<String> cutFromPeers = new HashSet<>();
+  private final Set<String> lapsed = new HashSet<>();
   private VmLimits limits = VmLimits.NONE;
   private VmAdvisor advisor = (vm, step, ids, timeout) -> Single.just(approveAll(ids));
   private int lives;
@@ -105,7 +106,7 @@
   /** Starts a VM, or starts it anew. */
   public void start(String name, double strength) {
     write("op", "config");
-    workers.entries().forEach(entry -> write("servers", entry.id()));
+    workers.entries().forEach(entry -> register(entry.id()));
     String life = "life-" + ++lives;
     Vm[] created = new Vm[1];
     MetricRegistry metrics = new MetricRegistry();
@@ -157,6 +158,19 @@
         new TableCommit(Foreign.PART, List.of(), List.of(new Put(row, new byte[] {1})), List.of()));
   }
 
+  /** Drops the entry of a worker from the registry, also while the worker lives. */
+  public void lapse(String id) {
+    lapsed.add(id);
+    RowName row = new RowName("servers", id);
+    table.apply(new TableCommit(Foreign.PART, List.of(), List.of(), List.of(row)));
+  }
+
+  private void register(String id) {
+    if (!lapsed.contains(id)) {
+      write("servers", id);
+    }
+  }
+
   private Optional<WorkerEntry> entry(String id) {
     return workers.entries().stream().filter(entry -> entry.id().equals(id)).findFirst();
   }
