A worker that left stays listed until what ended there is durable

What callers could see: a task that ended well was run again after a takeover.

Cause: a worker that has left was dropped from the list as soon as no run was booked on it. Its last ends may wait for the store at that moment, and a row of the list that was already to be written goes with an earlier commit than they do. A leader that takes over between the two neither finds the end in the store nor asks the worker that still tells it.

Evidence: without the change CellTest.UsedWorkersList .should_keep_a_worker_that_left_until_what_ended_there_is_durable fails: Expecting empty but was: ["worker-unlisted w1 [epoch, 1]"]

Why this works: the worker is dropped only after the commit of its last end.

--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/UsedWorkers.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/UsedWorkers.java
@@ -73,11 +73,13 @@
             });
   }
 
-  /** Drops a worker from the list that has left and on which nothing runs. */
+  /** Drops a worker from the list that has left, once all that ran there has ended durably. */
   void review(Worker worker) {
     boolean mayRun = !worker.heard && ports.clock().millis() < worker.unheardUntilMillis;
+    boolean idle = worker.runs.isEmpty() && !mayRun;
+    boolean endsDurable = worker.seenEnd == worker.acknowledgedEnd;
     boolean inList = !worker.listingAddress.isEmpty();
-    if (!worker.gone() || !worker.runs.isEmpty() || mayRun || !inList) {
+    if (!worker.gone() || !idle || !endsDurable || !inList) {
       return;
     }
     worker.listing = 0;
--- a/masticspread-cell/src/test/java/org/masticspread/cell/engine/CellTest.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/engine/CellTest.java
@@ -735,6 +735,26 @@
       assertThat(fixture.workers.starts()).anyMatch(start -> start.startsWith("w4"));
     }
 
+    @Test
+    void should_keep_a_worker_that_left_until_what_ended_there_is_durable() {
+      // GIVEN
+      fixture.accept(job("a", 1, 4000, SHORT, false));
+      fixture.table.always(Fate.REFUSED);
+      pass(500);
+      String worker = fixture.workers.starts().get(0).split(" ")[0];
+
+      // WHEN
+      fixture.cell.unregister(worker);
+      pass(300);
+      final List<String> before = unlisted();
+      fixture.table.always(Fate.DONE);
+      pass(1000);
+
+      // THEN
+      assertThat(before).isEmpty();
+      assertThat(unlisted()).hasSize(1);
+    }
+
     @Test
     void should_take_back_a_worker_whose_entry_returns() {
       // GIVEN
@@ -767,6 +787,10 @@
       assertThat(listWrites()).isEqualTo(writes);
     }
 
+    private List<String> unlisted() {
+      return fixture.events.stream().filter(event -> event.startsWith("worker-unlisted")).toList();
+    }
+
     private long listWrites() {
       return fixture.table.commits().stream()
           .flatMap(commit -> commit.puts().stream())
