Changes between the pages of a read are followed

What callers could see: a worker that registered or left while a VM read the registry in several pages was missed or kept, until its entry changed again.

Cause: TableFollower followed changes from the version of the last page. A change to an earlier page that came before the last one was read has a lower version, and was in neither.

Evidence: without the change TableFollowerTest fails: should_see_a_row_that_was_dropped_from_a_page_already_read: Expecting actual: [] to contain exactly ["005"] should_see_a_row_that_was_added_to_a_page_already_read: Expecting actual: [] to contain exactly ["0050"]

Why this works: changes are followed from the version of the first page. Some are seen twice then; listeners take in rows, so that does no harm.

--- a/masticspread-cell/src/main/java/org/masticspread/cell/lead/TableFollower.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/lead/TableFollower.java
@@ -69,7 +69,7 @@
 
   /** Starts to follow. */
   public void start() {
-    readAll(new ArrayList<>(), "");
+    readAll();
   }
 
   /** Stops. */
@@ -99,28 +99,40 @@
                 });
   }
 
-  private void readAll(List<TableRow> before, String from) {
+  private void readAll() {
+    readFrom(new ArrayList<>(), "", Long.MAX_VALUE);
+  }
+
+  /**
+   * Reads a page and those after it.
+   *
+   * @param before the rows of the pages before
+   * @param from the first key of the page
+   * @param since the version of the first page; changes to it while later ones are read are newer
+   */
+  private void readFrom(List<TableRow> before, String from, long since) {
     if (closed) {
       return;
     }
     var unused =
         store
             .read(table, part, from, ROWS_PER_READ)
-            .subscribe(page -> page(before, page), error -> failed(error, false));
+            .subscribe(page -> page(before, page, since), error -> failed(error, false));
   }
 
-  private void page(List<TableRow> before, RowPage page) {
+  private void page(List<TableRow> before, RowPage page, long since) {
     if (closed) {
       return;
     }
     before.addAll(page.rows());
+    long oldest = Math.min(since, page.version());
     if (page.more() && !page.rows().isEmpty()) {
       String last = page.rows().get(page.rows().size() - 1).key();
-      readAll(before, last + '\0');
+      readFrom(before, last + '\0', oldest);
       return;
     }
     regained();
-    version = page.version();
+    version = oldest;
     listener.rows(before, true);
     follow();
   }
@@ -159,7 +171,7 @@
       timers.after(PAUSE, this::follow);
       return;
     }
-    timers.after(gone ? Duration.ZERO : PAUSE, () -> readAll(new ArrayList<>(), ""));
+    timers.after(gone ? Duration.ZERO : PAUSE, this::readAll);
   }
 
   private void regained() {
