--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Renewals.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Renewals.java
@@ -144,6 +144,7 @@
     }
     if (worker.gone()
         && now() - worker.missingSinceMillis > DROP_AFTER.toMillis()
+        && worker.listingAddress.isEmpty()
         && worker.runs.isEmpty()) {
       ports.log().event("worker-dropped", worker.id());
       fleet.remove(worker);
