The leader is kept while the store is slow or loses commits for all VMs

Each change costs them seconds.

Cause: unlike was compared with unlike. The leader doubted the store after one commit without an answer for 520 ms (or failed for 120 ms), and invited any VM that *read* a row within 200 ms. The invited VM claimed without having written; its claim took effect though the answer was lost, and its first commit stalled in turn. Nothing remembered that the change before had not helped.

Now, while a commit is late or failed, the leader checks the store by other writes, in a part of their own so that they hold up neither commits nor registrations. Any answer in time clears the doubt; 500 ms of checks without an answer (200 ms of refusals) let it invite another VM, which takes over only after an own write was answered in time, and otherwise declines and is asked last for 3 s. Each change of the leader in a row doubles the wait; a VM counts its own takeovers too, since two VMs that alternate saw only half of them. The message LeadCell says whether the write is needed; a leader that stops needs none.

--- a/masticspread-cell/src/main/java/org/masticspread/cell/journal/Rows.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/journal/Rows.java
@@ -19,6 +19,9 @@
   /** The part of the rows of VMs, apart from the commits of the leader. */
   public static final String VM_PART = "vms";
 
+  /** The part of the row of checks, so that checks hold up no other writes. */
+  public static final String CHECK_PART = "checks";
+
   /** Holds the one row that names the leader; followed by every VM. */
   public static final String LEADER_TABLE = "leader";
 
@@ -40,6 +43,9 @@
   /** The row that names the leader. */
   public static final RowName LEADER = new RowName(LEADER_TABLE, "leader");
 
+  /** The row that VMs write to find out whether they reach the store. */
+  public static final RowName CHECK = new RowName("checks", "check");
+
   /** The row that counts the commits. */
   public static final RowName HEAD = new RowName(HEAD_TABLE, "head");
 
--- a/masticspread-cell/src/main/java/org/masticspread/cell/lead/Leadership.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/lead/Leadership.java
@@ -166,6 +166,11 @@
     return suspicion.slowAnswer();
   }
 
+  /** Returns how many changes of the leader came soon after another, also those to this VM. */
+  int changesInRow() {
+    return suspicion.changesInRow();
+  }
+
   void stopping() {
     stopping = true;
   }
@@ -212,6 +217,7 @@
     suspecting = false;
     serving = false;
     unanswered.clear();
+    suspicion.follow();
     if (leading()) {
       won(record.epoch(), version);
       return;
@@ -221,7 +227,6 @@
       ports.timers().after(Duration.ZERO, () -> claim("its former life led"));
       return;
     }
-    suspicion.follow();
     ledMillis = ports.clock().millis();
     progressedMillis = ledMillis;
     progress = 0;
--- a/masticspread-cell/src/main/java/org/masticspread/cell/lead/Suspicion.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/lead/Suspicion.java
@@ -54,7 +54,7 @@
     this.heardMillis = clock.millis();
   }
 
-  /** Another VM leads from now on. */
+  /** Another VM than before leads from now on; it may be this one. */
   void follow() {
     long now = clock.millis();
     boolean first = followedMillis < 0;
@@ -94,6 +94,11 @@
     deviationMillis += DEVIATION_WEIGHT * (Math.abs(error) - deviationMillis);
   }
 
+  /** Returns how many changes of the leader came soon after another. */
+  int changesInRow() {
+    return changesInRow;
+  }
+
   /** Returns how long the leader may be silent. */
   Duration patience() {
     long millis = SHORTEST.toMillis() + slowAnswer().toMillis();
--- a/masticspread-cell/src/main/java/org/masticspread/cell/lead/Vm.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/lead/Vm.java
@@ -47,14 +47,11 @@
  * }</pre>
  */
 public final class Vm implements PeerHandler {
-  /** How long a read of the store takes at most for a VM that reaches it well. */
-  private static final Duration STORE_CHECK = Duration.ofMillis(200);
+  /** Between two attempts to register. */
+  private static final Duration REGISTER_PAUSE = Duration.ofMillis(200);
 
-  /** A commit that has failed for so long may fail for this VM only. */
-  private static final Duration STORE_DOUBT = Duration.ofMillis(120);
-
-  /** A commit without an answer for so long; longer than on a store that is 50 times slower. */
-  private static final Duration STORE_STALL = Duration.ofMillis(520);
+  /** A commit without an answer for so long lets the leader check the store. */
+  private static final Duration COMMIT_LATE = Duration.ofMillis(100);
 
   /** A leader whose orders to workers take longer is slow itself. */
   private static final Duration SELF_BEHIND = Duration.ofMillis(100);
@@ -75,6 +72,7 @@
   private final Roster roster;
   private final Leadership leadership;
   private final Handover handover;
+  private final StoreCheck storeCheck;
   private final long startedMillis;
   private final TableFollower vms;
   private final TableFollower leaders;
@@ -84,6 +82,7 @@
   private Optional<TableFollower> registry = Optional.empty();
   private Optional<Journal> journal = Optional.empty();
   private Optional<CellLoader> loading = Optional.empty();
+  private StoreDoubt storeDoubt;
   private long searchedMillis = Long.MIN_VALUE / 2;
   private Consumer<CellConfig> configListener = newer -> {};
 
@@ -99,6 +98,8 @@
     this.startedMillis = ports.clock().millis();
     this.leadership = new Leadership(ports, roster, new Owner());
     this.handover = new Handover(ports, roster, leadership, this::configVersion);
+    this.storeCheck = new StoreCheck(ports.store(), ports.timers());
+    this.storeDoubt = new StoreDoubt(ports.clock());
     this.vms = follower(Rows.VM_TABLE, Rows.VM_PART, this::readVms);
     this.leaders = follower(Rows.LEADER_TABLE, Rows.PART, this::readLeader);
     this.operator = follower(ports.operator().table(), ports.operator().part(), this::readConfig);
@@ -138,7 +139,9 @@
       return;
     }
     watched.heartbeat();
-    storeDoubtful();
+    if (watched.stalledFor().compareTo(COMMIT_LATE) >= 0) {
+      checkStore(watched);
+    }
     ports.timers().after(WATCH_EVERY, () -> watchCommits(watched));
   }
 
@@ -158,7 +161,7 @@
                 result -> {
                   switch (result.kind()) {
                     case DONE -> ports.log().event("vm-registered", self.vm(), "life", self.life());
-                    default -> ports.timers().after(STORE_CHECK, this::register);
+                    default -> ports.timers().after(REGISTER_PAUSE, this::register);
                   }
                 });
   }
@@ -329,8 +332,7 @@
     } else if (message instanceof VmProbe probe) {
       answer(probe, answer);
     } else if (message instanceof LeadCell invitation) {
-      leadership.invited(invitation);
-      answer.complete(new Acknowledged(ResultCode.OK));
+      answer(invitation, answer);
     } else {
       answer.completeExceptionally(
           new InvalidFieldException(
@@ -378,7 +380,7 @@
             answer.complete(status(reached));
           }
         };
-    ports.timers().after(STORE_CHECK, () -> once.accept(false));
+    ports.timers().after(StoreCheck.IN_TIME, () -> once.accept(false));
     var unused =
         ports
             .store()
@@ -386,6 +388,33 @@
             .subscribe(page -> once.accept(true), error -> once.accept(false));
   }
 
+  /** Takes over; if the leader has lost the store, only after an own write to it. */
+  private void answer(LeadCell invitation, CompletableFuture<PeerMessage> answer) {
+    if (!invitation.mustReachStore()) {
+      leadership.invited(invitation);
+      answer.complete(new Acknowledged(ResultCode.OK));
+      return;
+    }
+    storeCheck.write(
+        outcome -> {
+          if (outcome == StoreCheck.Outcome.REACHED) {
+            leadership.invited(invitation);
+            answer.complete(new Acknowledged(ResultCode.OK));
+            return;
+          }
+          ports
+              .log()
+              .event(
+                  "leader-invitation-declined",
+                  roster.self().vm(),
+                  "epoch",
+                  invitation.epoch(),
+                  "storeCheck",
+                  outcome);
+          answer.complete(new Acknowledged(ResultCode.STORE_UNAVAILABLE));
+        });
+  }
+
   private VmStatus status(boolean storeReached) {
     return status(leadership.hearsLeader(), storeReached);
   }
@@ -523,6 +552,7 @@
             leadership::fenced);
     jobs.forEach(job -> next.restore(job.record(), job.progress()));
     journal = Optional.of(fresh);
+    storeDoubt = new StoreDoubt(ports.clock());
     watchCommits(fresh);
     workers.forEach(read -> readWorkers(next, read.rows(), read.all()));
     cell = Optional.of(next);
@@ -608,22 +638,44 @@
                                             : AdviceReply.NONE))));
   }
 
+  /** Checks whether this VM, the leader, reaches the store when a commit is late or failed. */
+  private void checkStore(Journal watched) {
+    long sent = ports.clock().millis();
+    storeCheck.write(
+        outcome -> {
+          if (journal.equals(Optional.of(watched))) {
+            storeDoubt.checked(sent, outcome);
+            handOverIfLost(watched, outcome);
+          }
+        });
+  }
+
   /** Searches for a VM that reaches the store when this one, the leader, does not. */
-  private void storeDoubtful() {
+  private void handOverIfLost(Journal watched, StoreCheck.Outcome outcome) {
     long now = ports.clock().millis();
+    boolean early = now - searchedMillis < SEARCH_EVERY.toMillis();
+    if (early || watched.stalledFor().isZero() || !storeDoubt.lost(leadership.changesInRow())) {
+      return;
+    }
     // A VM that is behind with all its work sees slow commits too; another would be no faster.
     boolean behind = cell.map(c -> c.behind().compareTo(SELF_BEHIND) >= 0).orElse(false);
-    boolean doubtful =
-        journal
-            .map(
-                j ->
-                    j.failingFor().compareTo(STORE_DOUBT) >= 0
-                        || (!behind && j.stalledFor().compareTo(STORE_STALL) >= 0))
-            .orElse(false);
-    if (!doubtful || now - searchedMillis < SEARCH_EVERY.toMillis()) {
+    if (behind && watched.failingFor().isZero()) {
       return;
     }
     searchedMillis = now;
+    ports
+        .log()
+        .event(
+            "store-doubtful",
+            roster.self().vm(),
+            "storeCheck",
+            outcome,
+            "checksFailingMs",
+            storeDoubt.failingFor().toMillis(),
+            "commitStalledMs",
+            watched.stalledFor().toMillis(),
+            "changesInRow",
+            leadership.changesInRow());
     handover.invite("store not reached", true);
   }
 
@@ -657,8 +709,10 @@
 
     @Override
     public void storeReached(boolean reached) {
-      if (!reached) {
-        storeDoubtful();
+      if (reached) {
+        storeDoubt.reached();
+      } else {
+        journal.ifPresent(Vm.this::checkStore);
       }
     }
   }
--- /dev/null
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/lead/NeedlessHandoverTest.java
@@ -0,0 +1,153 @@
+package org.masticspread.cell.lead;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.Random;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.masticspread.cell.testing.FakeTable.Fate;
+import org.masticspread.cell.testing.Jobs;
+import org.masticspread.cell.testing.VmCluster;
+import org.masticspread.model.cell.JobOrder;
+import org.masticspread.model.peer.CellCall.Action;
+import org.masticspread.model.resource.ResourceVector;
+
+/** Answers day store-twice of Greffe Vocale: two VMs invited each other every 0.7 s. */
+class NeedlessHandoverTest {
+  /** The users' target: changes of the leader for each fault. */
+  private static final int MOST_CHANGES = 2;
+
+  private final VmCluster cluster =
+      new VmCluster(Jobs.config(Jobs.queue("checks", 0, Optional.empty())));
+  private int jobs;
+
+  @BeforeEach
+  void start() {
+    cluster.workers.add("w1", "r1", 8000);
+    cluster.workers.add("w2", "r1", 8000);
+    cluster.start("vm-1", 1.0);
+    cluster.start("vm-2", 2.0);
+    cluster.start("vm-3", 0.5);
+    cluster.time.pass(Duration.ofSeconds(5));
+  }
+
+  @AfterEach
+  void should_never_break_a_promise() {
+    assertThat(cluster.workers.violations()).isEmpty();
+  }
+
+  /** Submits a job each 50 ms for 10 s. */
+  private void load() {
+    for (int i = 0; i < 200; i++) {
+      String id = "job" + jobs++;
+      Duration work = Duration.ofMillis(200);
+      cluster.workers.describe(id, new ResourceVector(500, 1024, 0), work);
+      JobOrder order = Jobs.job(id, Jobs.step(1, 500, work, false));
+      cluster.call("vm-3", Action.SUBMIT, id, order);
+      cluster.time.pass(Duration.ofMillis(50));
+    }
+  }
+
+  private long changesOfLeader() {
+    return cluster.events.stream().filter(event -> event.contains(" leader-won ")).count() - 1;
+  }
+
+  @Nested
+  class StoreDisturbedForAll {
+    @ParameterizedTest
+    @EnumSource(names = {"ANSWER_LOST", "LATE", "REFUSED", "SILENT"})
+    void should_keep_the_leader_while_commits_of_all_vms_fail(Fate fate) {
+      // WHEN
+      cluster.table.always(fate);
+      load();
+
+      // THEN
+      assertThat(changesOfLeader()).as("%s", cluster.events).isZero();
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {300, 600, 900})
+    void should_keep_the_leader_while_commits_of_all_vms_are_slow(long millis) {
+      // WHEN
+      cluster.table.commitTime(Duration.ofMillis(millis));
+      load();
+
+      // THEN
+      assertThat(changesOfLeader()).as("%s", cluster.events).isZero();
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
+    void should_not_change_the_leader_often_while_half_of_the_answers_are_lost(long seed) {
+      // WHEN
+      halfOfCommits(seed, Fate.ANSWER_LOST);
+      load();
+
+      // THEN
+      assertThat(changesOfLeader()).as("%s", cluster.events).isLessThanOrEqualTo(MOST_CHANGES);
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
+    void should_not_change_the_leader_often_while_half_of_the_commits_are_refused(long seed) {
+      // WHEN
+      halfOfCommits(seed, Fate.REFUSED);
+      load();
+
+      // THEN
+      assertThat(changesOfLeader()).as("%s", cluster.events).isLessThanOrEqualTo(MOST_CHANGES);
+    }
+
+    private void halfOfCommits(long seed, Fate fate) {
+      Random random = new Random(seed);
+      cluster.table.next(
+          Stream.generate(() -> random.nextBoolean() ? Fate.DONE : fate)
+              .limit(1000)
+              .toArray(Fate[]::new));
+    }
+  }
+
+  @Nested
+  class StoreLostForTheLeader {
+    @Test
+    void should_change_the_leader_once_within_a_second_and_a_half() {
+      // WHEN
+      cluster.cutFromStore("vm-2", true);
+      cluster.time.pass(Duration.ofMillis(1500));
+
+      // THEN
+      assertThat(cluster.leaders()).contains("vm-1");
+      load();
+      assertThat(changesOfLeader()).isEqualTo(1);
+    }
+
+    @Test
+    void should_not_hold_an_earlier_loss_against_a_vm_that_leads_again() {
+      // GIVEN a leader that lost the store, and leads again once it reaches it
+      cluster.cutFromStore("vm-2", true);
+      load();
+      cluster.cutFromStore("vm-2", false);
+      cluster.kill("vm-1");
+      load();
+      assertThat(cluster.leaders()).containsExactly("vm-2");
+      cluster.start("vm-1", 1.0);
+      load();
+      final long before = changesOfLeader();
+
+      // WHEN a commit and a check have no answer
+      cluster.table.next(Fate.ANSWER_LOST, Fate.ANSWER_LOST);
+      load();
+
+      // THEN
+      assertThat(changesOfLeader()).isEqualTo(before);
+    }
+  }
+}
--- a/masticspread-cell/src/test/java/org/masticspread/cell/testing/FakeTable.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/testing/FakeTable.java
@@ -45,6 +45,7 @@
   private final List<Fate> fates = new ArrayList<>();
   private final List<TableCommit> commits = new ArrayList<>();
   private Fate fate = Fate.DONE;
+  private Duration commitTime = COMMIT_TIME;
   private long version;
 
   /** Creates an empty store. */
@@ -63,6 +64,11 @@
     fate = all;
   }
 
+  /** Sets how long a transaction takes from now on. */
+  public void commitTime(Duration taken) {
+    commitTime = taken;
+  }
+
   /** Returns all transactions that were sent. */
   public List<TableCommit> commits() {
     return commits;
@@ -92,9 +98,9 @@
     return Single.create(
         emitter -> {
           switch (now) {
-            case DONE -> time.after(COMMIT_TIME, () -> emitter.onSuccess(apply(commit)));
+            case DONE -> time.after(commitTime, () -> emitter.onSuccess(apply(commit)));
             case ANSWER_LOST -> {
-              time.after(COMMIT_TIME, () -> apply(commit));
+              time.after(commitTime, () -> apply(commit));
               time.after(COMMIT_TIMEOUT, () -> emitter.onSuccess(CommitResult.of(Kind.UNKNOWN)));
             }
             case LATE -> {
--- a/masticspread-model/src/main/java/org/masticspread/model/peer/LeadCell.java
+++ b/masticspread-model/src/main/java/org/masticspread/model/peer/LeadCell.java
@@ -5,6 +5,7 @@
  * Answered by {@link Acknowledged}.
  *
  * @param epoch the epoch that ends
+ * @param mustReachStore whether the VM is to take over only if it can write to the store
  * @param reason a short sentence, for the log
  */
-public record LeadCell(long epoch, String reason) implements PeerMessage {}
+public record LeadCell(long epoch, boolean mustReachStore, String reason) implements PeerMessage {}
