A VM that reaches no other claims only while the store takes writes

Callers would see a leader that nobody reaches: while the store loses or delays the commits of all VMs, a VM cut off from its peers takes the cell over, the others do not hear it and take it back, and so on.

Cause: such a VM watches the row of commits for 1.5 s and takes no change as a sign that the leader is gone. A leader whose commits are not answered changes nothing either. Found while looking for further places that conclude from a read what only a write can show.

Now it writes to the store before and after; without an answer within 400 ms it does not claim and looks again. A leader writes at least once a second, so with commits that quick it writes within the 1.5 s.

NeedlessHandoverTest.VmAlone failed before with 3 changes of the leader in 10 s (answers lost) and 1 (commits 3 s late), want 0; the cases with refused and with silent commits passed. A VM whose peers are all gone still takes over within 4 s, and within 5 s on a store with commits of 100 and 300 ms.

--- a/masticspread-cell/src/main/java/org/masticspread/cell/lead/Leadership.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/lead/Leadership.java
@@ -69,6 +69,9 @@
   /** A VM that reaches no other VM may be the one that is cut off. */
   private static final Duration ALONE_DELAY = Duration.ofMillis(1500);
 
+  /** A leader whose commits take longer may write nothing while it is watched in the store. */
+  private static final Duration ALONE_CHECK = Duration.ofMillis(400);
+
   /** A leader that has won but does not say so yet, or has just given up. */
   private static final Duration NOT_LEADING_GRACE = Duration.ofMillis(1200);
 
@@ -103,6 +106,7 @@
   private boolean known;
   private long wonEpoch;
   private final Suspicion suspicion;
+  private final StoreCheck storeCheck;
   private final ArrayDeque<Long> unanswered = new ArrayDeque<>();
   private final List<Consumer<Boolean>> opinions = new ArrayList<>();
   private Runnable whenServing = () -> {};
@@ -123,6 +127,7 @@
     this.roster = roster;
     this.owner = owner;
     this.suspicion = new Suspicion(ports.clock());
+    this.storeCheck = new StoreCheck(ports.store(), ports.timers());
   }
 
   Optional<LeaderRecord> leader() {
@@ -467,27 +472,47 @@
 
   /**
    * Claims only if the leader writes nothing for a while: a VM that reaches no other VM may itself
-   * be the one that is cut off.
+   * be the one that is cut off. A leader whose writes the store does not take writes nothing
+   * either, so this VM writes before and after.
    */
   private void claimAlone() {
     long epoch = epoch();
-    readHead(
-        before ->
-            ports
-                .timers()
-                .after(
-                    ALONE_DELAY,
-                    () ->
-                        readHead(
-                            after -> {
-                              boolean idle = before.equals(after);
-                              ports.log().event("leader-watched", roster.self().vm(), "idle", idle);
-                              suspecting = false;
-                              keptMillis = ports.clock().millis();
-                              if (idle && epoch == epoch()) {
-                                claim("no other VM answers and nothing is written");
-                              }
-                            })));
+    ifStoreTakesWrites(
+        () ->
+            readHead(
+                before ->
+                    ports
+                        .timers()
+                        .after(
+                            ALONE_DELAY,
+                            () ->
+                                readHead(
+                                    after ->
+                                        ifStoreTakesWrites(
+                                            () -> judgeAlone(epoch, before.equals(after)))))));
+  }
+
+  private void ifStoreTakesWrites(Runnable then) {
+    storeCheck.write(
+        ALONE_CHECK,
+        outcome -> {
+          if (outcome == StoreCheck.Outcome.REACHED) {
+            then.run();
+            return;
+          }
+          ports.log().event("leader-not-watched", roster.self().vm(), "storeCheck", outcome);
+          suspecting = false;
+          keptMillis = ports.clock().millis();
+        });
+  }
+
+  private void judgeAlone(long epoch, boolean idle) {
+    ports.log().event("leader-watched", roster.self().vm(), "idle", idle);
+    suspecting = false;
+    keptMillis = ports.clock().millis();
+    if (idle && epoch == epoch()) {
+      claim("no other VM answers and nothing is written");
+    }
   }
 
   private void readHead(Consumer<Long> version) {
--- a/masticspread-cell/src/main/java/org/masticspread/cell/lead/StoreCheck.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/lead/StoreCheck.java
@@ -40,6 +40,16 @@
 
   /** Writes, and tells the outcome once, after {@link #IN_TIME} at the latest. */
   void write(Consumer<Outcome> then) {
+    write(IN_TIME, then);
+  }
+
+  /**
+   * Writes, and tells the outcome once.
+   *
+   * @param inTime how long an answer is waited for
+   * @param then gets the outcome
+   */
+  void write(Duration inTime, Consumer<Outcome> then) {
     boolean[] told = {false};
     Consumer<Outcome> once =
         outcome -> {
@@ -48,7 +58,7 @@
             then.accept(outcome);
           }
         };
-    timers.after(IN_TIME, () -> once.accept(Outcome.UNANSWERED));
+    timers.after(inTime, () -> once.accept(Outcome.UNANSWERED));
     TableCommit commit =
         new TableCommit(Rows.CHECK_PART, List.of(), List.of(new Put(Rows.CHECK, VALUE)), List.of());
     var unused = store.commit(commit).subscribe(result -> once.accept(outcome(result)));
--- a/masticspread-cell/src/test/java/org/masticspread/cell/lead/NeedlessHandoverTest.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/lead/NeedlessHandoverTest.java
@@ -115,6 +115,49 @@
     }
   }
 
+  @Nested
+  class VmAlone {
+    @ParameterizedTest
+    @EnumSource(names = {"ANSWER_LOST", "LATE", "REFUSED", "SILENT"})
+    void should_not_claim_while_the_leader_can_write_nothing(Fate fate) {
+      // GIVEN
+      cluster.cutFromPeers("vm-3", true);
+
+      // WHEN
+      cluster.table.always(fate);
+      cluster.time.pass(Duration.ofSeconds(10));
+
+      // THEN
+      assertThat(changesOfLeader()).as("%s", cluster.events).isZero();
+    }
+
+    @Test
+    void should_claim_when_all_other_vms_are_gone() {
+      // WHEN
+      cluster.kill("vm-1");
+      cluster.kill("vm-2");
+      cluster.time.pass(Duration.ofSeconds(4));
+
+      // THEN
+      assertThat(cluster.leaders()).containsExactly("vm-3");
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {100, 300})
+    void should_claim_on_a_slow_store_when_all_other_vms_are_gone(long millis) {
+      // GIVEN
+      cluster.table.commitTime(Duration.ofMillis(millis));
+
+      // WHEN
+      cluster.kill("vm-1");
+      cluster.kill("vm-2");
+      cluster.time.pass(Duration.ofSeconds(5));
+
+      // THEN
+      assertThat(cluster.leaders()).containsExactly("vm-3");
+    }
+  }
+
   @Nested
   class StoreLostForTheLeader {
     @Test
