New workers that no leader has used hold back no older jobs

Seen by callers: while new workers register one after the other and do not answer, the jobs of an earlier leader stand still. Cause: each of them was waited for as if an earlier leader might have used it. Fix: the list of used workers says that none has. StandstillTest.AfterTakeover failed before: expected 1 start but was 0.

--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Cell.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Cell.java
@@ -284,7 +284,7 @@
   private void ask(Worker worker) {
     // An earlier leader may have renewed its lease until just before it was deposed.
     long lease = (long) (leaseMillis() * SLOWEST_CLOCK) + 2 * LAPSE_MARGIN.toMillis();
-    worker.unheardUntilMillis = now() + lease;
+    worker.unheardUntilMillis = now() + (usedWorkers.mayBeUsed(worker) ? lease : 0);
     renew(worker);
   }
 
--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/UsedWorkers.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/UsedWorkers.java
@@ -44,6 +44,11 @@
     return missing;
   }
 
+  /** Tells whether an earlier leader may have used a worker that is registered. */
+  boolean mayBeUsed(Worker worker) {
+    return !begun || !worker.listingAddress.isEmpty();
+  }
+
   /** Lists the workers that are not listed yet, now and from now on. */
   void begin() {
     begun = true;
--- a/masticspread-cell/src/test/java/org/masticspread/cell/engine/StandstillTest.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/engine/StandstillTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -273,6 +274,31 @@
     }
   }
 
+  @Nested
+  class AfterTakeover {
+    @Test
+    void should_not_hold_back_older_jobs_for_new_workers_that_do_not_answer() {
+      // GIVEN
+      StepSpec first = Jobs.step(1, 1000, Duration.ofSeconds(6), false);
+      StepSpec second = Jobs.step(1, 1000, SHORT, false, List.of(0));
+      accept("a", Duration.ofSeconds(6), first, second);
+      pass(100);
+      fixture.cell.close();
+      fixture.lead();
+      pass(5000);
+
+      // WHEN
+      for (int i = 0; i < 5; i++) {
+        fixture.workers.add("x" + i, "r1", 8000).silent = true;
+        fixture.cell.register(fixture.workers.state("x" + i).entry);
+        pass(1000);
+      }
+
+      // THEN
+      assertThat(fixture.startsOf("a.0.1.0")).isEqualTo(1);
+    }
+  }
+
   @Nested
   class BesideGangsThatWait {
     @Test
