A VM left alone on a very slow store claims

A VM that reaches no other must see two of its own writes before it claims; 400 ms for each kept it from claiming for good on a store that takes longer, with all other VMs dead. 1.2 s, still less than the 1.5 s for which it watches the leader's writes. NeedlessHandoverTest.VmAloneOnVerySlowStore failed before (no leader within 8 s).

--- a/masticspread-cell/src/main/java/org/masticspread/cell/lead/Leadership.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/lead/Leadership.java
@@ -70,7 +70,7 @@
   private static final Duration ALONE_DELAY = Duration.ofMillis(1500);
 
   /** A leader whose commits take longer may write nothing while it is watched in the store. */
-  private static final Duration ALONE_CHECK = Duration.ofMillis(400);
+  private static final Duration ALONE_CHECK = Duration.ofMillis(1200);
 
   /** A leader that has won but does not say so yet, or has just given up. */
   private static final Duration NOT_LEADING_GRACE = Duration.ofMillis(1200);
--- a/masticspread-cell/src/test/java/org/masticspread/cell/lead/NeedlessHandoverTest.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/lead/NeedlessHandoverTest.java
@@ -158,6 +158,23 @@
     }
   }
 
+  @Nested
+  class VmAloneOnVerySlowStore {
+    @Test
+    void should_claim_when_all_other_vms_are_gone() {
+      // GIVEN
+      cluster.table.commitTime(Duration.ofMillis(800));
+
+      // WHEN
+      cluster.kill("vm-1");
+      cluster.kill("vm-2");
+      cluster.time.pass(Duration.ofSeconds(8));
+
+      // THEN
+      assertThat(cluster.leaders()).containsExactly("vm-3");
+    }
+  }
+
   @Nested
   class StoreLostForTheLeader {
     @Test
