No question waits at the advice desk without a bound

Cause: the desk went by the latest start only. What is late always goes first, and comes back; what has time was passed for as long as anything was late, and kept its old place. A question about the tickets of room that a gang holds waited in the same queue, longer than the claim. Class of fault: a priority queue without aging. AdviceDeskTest failed before, both tests: not answered within 8 s of overload.

--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Advice.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Advice.java
@@ -18,6 +18,7 @@
    * @param rule how long a call takes
    * @param priority the priority of its queue; 0 is urgent
    * @param latestStartMillis when the step must start to meet its objective
+   * @param holdsRoom whether a gang holds the room of these workers until the answer
    * @param wanted whether the answer would still be of use
    */
   record Question(
@@ -26,6 +27,7 @@
       AdviceRule rule,
       int priority,
       long latestStartMillis,
+      boolean holdsRoom,
       BooleanSupplier wanted) {
     Duration time() {
       return rule.callTime(workers.size());
--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/AdviceDesk.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/AdviceDesk.java
@@ -9,7 +9,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.PriorityQueue;
 import java.util.function.Supplier;
 import org.masticspread.cell.policy.AdviceLanes;
 import org.masticspread.model.peer.AdviceReply;
@@ -17,7 +16,8 @@
 /**
  * Spreads questions to the advisor over the VMs. They wait here and not at a VM, so that the most
  * urgent one goes to the next VM that is free; long ones never occupy all VMs ({@link
- * AdviceLanes}). Questions of one priority go by their latest start, so that none starves.
+ * AdviceLanes}). Among the others those of gangs that hold room go first, then by the time of
+ * asking and the latest start, so that none starves.
  */
 public final class AdviceDesk implements Advice {
   /** Added to a call's time at the advisor: two hops between VMs and to the advisor. */
@@ -35,24 +35,29 @@
   /** Urgent questions that wait while none is answered. */
   private static final int MOST_URGENT_WAITING = 200;
 
-  private static final Comparator<Waiting> ORDER =
-      Comparator.<Waiting>comparingInt(waiting -> waiting.urgent() ? 0 : 1)
-          .thenComparingLong(waiting -> waiting.question.latestStartMillis())
-          .thenComparingLong(waiting -> waiting.number);
+  /**
+   * A question that has waited for so long goes before all that wait for less, urgent ones aside.
+   */
+  private static final Duration LONGEST_OVERTAKEN = Duration.ofSeconds(2);
 
   private final Caller caller;
   private final Supplier<List<String>> vms;
   private final InstantSource clock;
   private final AdviceLanes lanes = new AdviceLanes();
-  private final PriorityQueue<Waiting> waiting = new PriorityQueue<>(ORDER);
+  private final List<Waiting> waiting = new ArrayList<>();
   private final Map<String, Call> calls = new HashMap<>();
   private final Map<String, Long> pausedUntil = new HashMap<>();
   private long asked;
 
-  private record Waiting(Question question, long number, SingleEmitter<AdviceReply> emitter) {
+  private record Waiting(
+      Question question, long askedMillis, long number, SingleEmitter<AdviceReply> emitter) {
     boolean urgent() {
       return question.priority() == 0;
     }
+
+    boolean overdue(long nowMillis) {
+      return nowMillis - askedMillis > LONGEST_OVERTAKEN.toMillis();
+    }
   }
 
   /** A call on its way, which occupies a VM. */
@@ -95,7 +100,7 @@
           if (question.priority() == 0) {
             lanes.asked(question.time().plus(OVERHEAD), clock.millis());
           }
-          waiting.add(new Waiting(question, asked++, emitter));
+          waiting.add(new Waiting(question, clock.millis(), asked++, emitter));
           look();
         });
   }
@@ -109,9 +114,10 @@
     int count = vms.get().size();
     long longCalls = calls.values().stream().filter(call -> !call.urgent).count();
     int mostLong = count - lanes.kept(count, clock.millis());
+    waiting.sort(orderAt(clock.millis()));
     List<Waiting> held = new ArrayList<>();
     while (!free.isEmpty() && !waiting.isEmpty()) {
-      Waiting next = waiting.poll();
+      Waiting next = waiting.remove(0);
       if (!next.question.wanted().getAsBoolean()) {
         next.emitter.onSuccess(AdviceReply.NONE);
       } else if (next.urgent()) {
@@ -127,6 +133,14 @@
     waiting.addAll(held);
   }
 
+  private static Comparator<Waiting> orderAt(long nowMillis) {
+    return Comparator.<Waiting>comparingInt(waiting -> waiting.urgent() ? 0 : 1)
+        .thenComparingInt(waiting -> waiting.question.holdsRoom() ? 0 : 1)
+        .thenComparingLong(waiting -> waiting.overdue(nowMillis) ? waiting.number : Long.MAX_VALUE)
+        .thenComparingLong(waiting -> waiting.question.latestStartMillis())
+        .thenComparingLong(waiting -> waiting.number);
+  }
+
   private List<String> free() {
     long now = clock.millis();
     List<String> free = new ArrayList<>();
--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Approvals.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Approvals.java
@@ -118,7 +118,7 @@
       }
       int to = Math.min(workers.size(), from + WORKERS_PER_CALL);
       step.adviceCalls++;
-      call(step, queue, workers.subList(from, to), () -> step.adviceCalls--);
+      call(step, queue, workers.subList(from, to), false, () -> step.adviceCalls--);
     }
   }
 
@@ -127,24 +127,27 @@
    * Those that still hold are asked for too: they might lapse before the answer. Calls about
    * further workers do not hold it up.
    *
+   * @param holdsRoom whether the gang holds the room meanwhile: the question does not wait for
+   *     others
    * @return whether the question is on its way
    */
-  boolean askForTickets(Step step, QueueRule queue, List<Worker> workers) {
+  boolean askForTickets(Step step, QueueRule queue, List<Worker> workers, boolean holdsRoom) {
     if (step.ticketCalls > 0 || now() < step.adviceNotBeforeMillis) {
       return false;
     }
-    if (!ports.advice().open(queue.priority())) {
+    if (!holdsRoom && !ports.advice().open(queue.priority())) {
       return false;
     }
     for (int from = 0; from < workers.size(); from += MOST_WORKERS_PER_CALL) {
       int to = Math.min(workers.size(), from + MOST_WORKERS_PER_CALL);
       step.ticketCalls++;
-      call(step, queue, workers.subList(from, to), () -> step.ticketCalls--);
+      call(step, queue, workers.subList(from, to), holdsRoom, () -> step.ticketCalls--);
     }
     return true;
   }
 
-  private void call(Step step, QueueRule queue, List<Worker> workers, Runnable answered) {
+  private void call(
+      Step step, QueueRule queue, List<Worker> workers, boolean holdsRoom, Runnable answered) {
     List<String> ids = new ArrayList<>();
     Map<String, Long> lives = new HashMap<>();
     for (Worker worker : workers) {
@@ -162,6 +165,7 @@
                     queue.advice().orElseThrow(),
                     queue.priority(),
                     step.latestStartMillis,
+                    holdsRoom,
                     () -> !cell.closed() && !step.job.state.ended() && step.anyWaiting()))
             .subscribe(
                 reply -> {
--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Gangs.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Gangs.java
@@ -209,7 +209,7 @@
         launch(step, startable.get());
         return true;
       }
-      if (approvals.askForTickets(step, queue, withSpares(step, queue, plan, outlook))) {
+      if (approvals.askForTickets(step, queue, withSpares(step, queue, plan, outlook), true)) {
         step.claimed = workersOf(plan);
         step.claimedSinceMillis = outlook.nowMillis();
         claim(step, queue, plan, outlook);
@@ -310,7 +310,7 @@
     List<Worker> workers = workersOf(plan);
     long call = queue.advice().orElseThrow().callTime(workers.size()).toMillis();
     if (plan.startMillis() - outlook.nowMillis() <= call + WORTH_CHANGING.toMillis()) {
-      approvals.askForTickets(step, queue, withSpares(step, queue, plan, outlook));
+      approvals.askForTickets(step, queue, withSpares(step, queue, plan, outlook), false);
     }
   }
 
--- /dev/null
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/engine/AdviceDeskTest.java
@@ -0,0 +1,80 @@
+package org.masticspread.cell.engine;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.reactivex.rxjava3.core.Single;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.masticspread.cell.testing.VirtualTime;
+import org.masticspread.model.cell.AdviceRule;
+import org.masticspread.model.peer.AdviceReply;
+
+/** The order of questions while more come than the advisor answers. */
+class AdviceDeskTest {
+  private static final Duration CALL = Duration.ofMillis(700);
+  private static final AdviceRule RULE =
+      new AdviceRule(CALL, Duration.ZERO, Duration.ofMillis(1500));
+
+  private final VirtualTime time = new VirtualTime();
+  private final Map<String, Long> answeredMillis = new HashMap<>();
+  private final AdviceDesk desk =
+      new AdviceDesk(
+          (vm, step, ids, timeout) ->
+              Single.create(
+                  emitter ->
+                      time.after(
+                          CALL, () -> emitter.onSuccess(new AdviceReply(true, List.of(), 1500)))),
+          () -> List.of("vm-1", "vm-2"),
+          time);
+
+  private void ask(String step, long latestStartMillis, boolean holdsRoom) {
+    long asked = time.millis();
+    var unused =
+        desk.ask(
+                new Advice.Question(
+                    step, List.of("w"), RULE, 1, latestStartMillis, holdsRoom, () -> true))
+            .subscribe(reply -> answeredMillis.put(step, time.millis() - asked));
+  }
+
+  /** Late gangs ask a little more than two VMs can answer. */
+  private void overload(int seconds) {
+    long late = time.millis() - 60_000;
+    for (int i = 0; i < seconds * 4; i++) {
+      ask("late-" + time.millis(), late, false);
+      time.pass(Duration.ofMillis(250));
+    }
+  }
+
+  @Nested
+  class Overload {
+    @Test
+    void should_not_let_late_gangs_starve_a_question_that_has_time() {
+      // GIVEN
+      overload(5);
+
+      // WHEN
+      ask("punctual", time.millis() + 20_000, false);
+      overload(8);
+
+      // THEN
+      assertThat(answeredMillis).containsKey("punctual");
+    }
+
+    @Test
+    void should_ask_first_for_a_gang_that_holds_room() {
+      // GIVEN
+      overload(10);
+
+      // WHEN
+      ask("holds-room", time.millis() + 20_000, true);
+      overload(3);
+
+      // THEN
+      assertThat(answeredMillis.get("holds-room")).isLessThanOrEqualTo(2 * CALL.toMillis() + 20);
+    }
+  }
+}
