--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Approvals.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Approvals.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import org.masticspread.model.cell.AdviceRule;
 import org.masticspread.model.cell.QueueRule;
 import org.masticspread.model.peer.AdviceReply;
 
@@ -21,6 +20,9 @@
   /** Workers named in one call: the objective of a job counts one call on so many for each step. */
   static final int WORKERS_PER_CALL = 30;
 
+  /** The advisor takes at most so many workers in a call. */
+  static final int MOST_WORKERS_PER_CALL = 100;
+
   /** Calls for one step at the same time, each from another VM. */
   private static final int MOST_CALLS = 6;
 
@@ -30,8 +32,8 @@
   /** Below this share an advisor that approves next to none would be asked about all workers. */
   private static final double LOWEST_SHARE = 0.05;
 
-  /** Until an answer says otherwise, half of the workers are taken to be approved. */
-  private static final double FIRST_SHARE = 0.5;
+  /** Until an answer says otherwise, this share of the workers is taken to be approved. */
+  private static final double FIRST_SHARE = 0.3;
 
   private final CellPorts ports;
   private final Cell cell;
@@ -105,29 +107,50 @@
     return approval == null ? "" : approval.code();
   }
 
-  /** Asks about workers, unless calls for the step are on their way. */
+  /** Asks about workers, unless such calls for the step are on their way. */
   void ask(Step step, QueueRule queue, List<Worker> workers) {
     if (step.adviceCalls > 0 || now() < step.adviceNotBeforeMillis) {
       return;
     }
-    AdviceRule rule = queue.advice().orElseThrow();
     for (int from = 0; from < workers.size(); from += WORKERS_PER_CALL) {
       if (step.adviceCalls >= MOST_CALLS || !ports.advice().open(queue.priority())) {
         return;
       }
       int to = Math.min(workers.size(), from + WORKERS_PER_CALL);
-      call(step, queue, workers.subList(from, to), rule);
+      step.adviceCalls++;
+      call(step, queue, workers.subList(from, to), () -> step.adviceCalls--);
+    }
+  }
+
+  /**
+   * Asks for the tickets of all workers of a plan in one question, so that they hold together.
+   * Those that still hold are asked for too: they might lapse before the answer. Calls about
+   * further workers do not hold it up.
+   *
+   * @return whether the question is on its way
+   */
+  boolean askForTickets(Step step, QueueRule queue, List<Worker> workers) {
+    if (step.ticketCalls > 0 || now() < step.adviceNotBeforeMillis) {
+      return false;
+    }
+    if (!ports.advice().open(queue.priority())) {
+      return false;
+    }
+    for (int from = 0; from < workers.size(); from += MOST_WORKERS_PER_CALL) {
+      int to = Math.min(workers.size(), from + MOST_WORKERS_PER_CALL);
+      step.ticketCalls++;
+      call(step, queue, workers.subList(from, to), () -> step.ticketCalls--);
     }
+    return true;
   }
 
-  private void call(Step step, QueueRule queue, List<Worker> workers, AdviceRule rule) {
+  private void call(Step step, QueueRule queue, List<Worker> workers, Runnable answered) {
     List<String> ids = new ArrayList<>();
     Map<String, Long> lives = new HashMap<>();
     for (Worker worker : workers) {
       ids.add(worker.id());
       lives.put(worker.id(), worker.life);
     }
-    step.adviceCalls++;
     long asked = now();
     var unused =
         ports
@@ -136,16 +159,19 @@
                 new Advice.Question(
                     step.name,
                     ids,
-                    rule,
+                    queue.advice().orElseThrow(),
                     queue.priority(),
                     step.latestStartMillis,
                     () -> !cell.closed() && !step.job.state.ended() && step.anyWaiting()))
-            .subscribe(reply -> advised(step, queue, lives, reply, asked));
+            .subscribe(
+                reply -> {
+                  answered.run();
+                  advised(step, queue, lives, reply, asked);
+                });
   }
 
   private void advised(
       Step step, QueueRule queue, Map<String, Long> lives, AdviceReply reply, long asked) {
-    step.adviceCalls--;
     if (cell.closed()) {
       return;
     }
--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Gangs.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Gangs.java
@@ -1,12 +1,16 @@
 package org.masticspread.cell.engine;
 
+import com.codahale.metrics.MetricRegistry;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Locale;
 import java.util.Optional;
 import org.masticspread.cell.policy.Forecast;
+import org.masticspread.cell.policy.GangPatience;
 import org.masticspread.cell.policy.GangPlan;
+import org.masticspread.cell.policy.Placement;
 import org.masticspread.cell.policy.Room;
 import org.masticspread.model.cell.QueueRule;
 
@@ -27,12 +31,35 @@
   /** Between two searches among all workers; in between a gang keeps to those of its plan. */
   private static final Duration SEARCH_EVERY = Duration.ofMillis(100);
 
-  /** A gang that would wait longer than this asks about further workers. */
+  /** A gang that waits longer than this in all asks about further workers. */
   private static final Duration LONG_WAIT = Duration.ofMillis(800);
 
+  /** Between two lines of the log that tell why the same gang has not started. */
+  private static final Duration HOLD_TOLD_EVERY = Duration.ofMillis(500);
+
+  /** Places asked for beyond those of a plan, for each of its tasks. */
+  private static final double SPARE_SHARE = 0.5;
+
+  /** A gang keeps the room for which it asks for tickets so long at most. */
+  private static final Duration LONGEST_CLAIM = Duration.ofSeconds(3);
+
   /** Members of a broken gang end by themselves sooner than this. */
   private static final Duration PARTIAL = Duration.ofMillis(600);
 
+  /** Why a gang has not started in a pass. */
+  private enum Hold {
+    /** Too few of the workers that it may use, by what is known, would ever have room for it. */
+    TOO_FEW_APPROVED,
+    /** Its workers have no room yet; their room is kept for it. */
+    ROOM_LATER,
+    /** Its workers have no room yet, and their room is not kept: others keep too much idle. */
+    ROOM_LATER_NOT_KEPT,
+    /** It has room now, and some of its tickets have lapsed. */
+    TICKETS_LAPSED,
+    /** As before, and the room is not kept until the tickets are there. */
+    TICKETS_LAPSED_NOT_KEPT
+  }
+
   private final CellPorts ports;
   private final Cell cell;
   private final Launcher launcher;
@@ -53,6 +80,9 @@
             step.name,
             cell.expectedMillis(queue, step.spec),
             ports.limits().farSlowdown());
+    if (launchOrClaim(step, queue, gang, outlook)) {
+      return;
+    }
     Optional<GangPlan> kept = keptPlan(gang, step, queue, outlook);
     if (outlook.nowMillis() < step.searchAgainMillis) {
       kept.ifPresent(plan -> follow(step, queue, plan, gang, outlook));
@@ -64,30 +94,92 @@
     Optional<GangPlan> best = GangPlan.find(gang, usable, outlook.nowMillis());
     if (best.isEmpty()) {
       step.planned = List.of();
+      hold(
+          step,
+          queue,
+          Hold.TOO_FEW_APPROVED,
+          outlook,
+          "usable",
+          usable.size(),
+          "unasked",
+          unknown.size());
       askMore(step, queue, outlook, unknown);
       return;
     }
     long limit = best.get().endMillis() + WORTH_CHANGING.toMillis();
-    GangPlan plan = kept.filter(k -> k.endMillis() <= limit).orElse(best.get());
+    GangPlan wanted = kept.filter(k -> k.endMillis() <= limit).orElse(best.get());
+    GangPlan plan = unlessImpatient(wanted, step, gang, usable, outlook);
     boolean started = follow(step, queue, plan, gang, outlook);
-    if (!started && plan.startMillis() - outlook.nowMillis() > LONG_WAIT.toMillis()) {
+    if (step.plannedSinceMillis < 0) {
+      step.plannedSinceMillis = outlook.nowMillis();
+    }
+    if (!started && plan.startMillis() - step.plannedSinceMillis > LONG_WAIT.toMillis()) {
       askMore(step, queue, outlook, unknown);
     }
   }
 
+  /** Returns a plan, or in place of one that starts later one that starts now. */
+  private static GangPlan unlessImpatient(
+      GangPlan plan, Step step, GangPlan.Gang gang, List<Forecast> usable, Outlook outlook) {
+    long now = outlook.nowMillis();
+    Optional<GangPlan> atOnce = GangPlan.findNow(gang, usable, now);
+    if (atOnce.isEmpty()) {
+      return plan;
+    }
+    if (step.roomSinceMillis < 0) {
+      step.roomSinceMillis = now;
+    }
+    boolean later = plan.startMillis() > now;
+    boolean waits = later && GangPatience.waits(atOnce.get(), plan, now - step.roomSinceMillis);
+    return later && !waits ? atOnce.get() : plan;
+  }
+
+  /**
+   * Starts a gang when the answer about its tickets is there; until then keeps the room that it
+   * asked for, so that no other gang takes it meanwhile.
+   *
+   * @return whether it was started or its room is kept
+   */
+  private boolean launchOrClaim(Step step, QueueRule queue, GangPlan.Gang gang, Outlook outlook) {
+    if (step.claimed.isEmpty()) {
+      return false;
+    }
+    if (step.ticketCalls == 0) {
+      step.claimed = List.of();
+      Optional<GangPlan> startable = startNow(gang, step, queue, outlook);
+      startable.ifPresent(plan -> launch(step, plan));
+      return startable.isPresent();
+    }
+    boolean tooLong = outlook.nowMillis() - step.claimedSinceMillis > LONGEST_CLAIM.toMillis();
+    Optional<GangPlan> plan =
+        GangPlan.findNow(gang, forecasts(step.claimed, queue, outlook), outlook.nowMillis());
+    if (tooLong || plan.isEmpty()) {
+      step.claimed = List.of();
+      return false;
+    }
+    claim(step, queue, plan.get(), outlook);
+    return true;
+  }
+
+  private void claim(Step step, QueueRule queue, GangPlan plan, Outlook outlook) {
+    outlook.claim(plan, step.spec);
+    hold(step, queue, Hold.TICKETS_LAPSED, outlook, "workers", plan.workers().size());
+  }
+
   /** Returns the plan that those workers of the former plan allow that are still usable. */
   private Optional<GangPlan> keptPlan(
       GangPlan.Gang gang, Step step, QueueRule queue, Outlook outlook) {
     if (step.planned.isEmpty()) {
       return Optional.empty();
     }
-    List<Forecast> former = new ArrayList<>();
-    for (Worker worker : step.planned) {
-      if (outlook.usable(queue, worker)) {
-        former.add(outlook.of(worker));
-      }
-    }
-    return GangPlan.find(gang, former, outlook.nowMillis());
+    return GangPlan.find(gang, forecasts(step.planned, queue, outlook), outlook.nowMillis());
+  }
+
+  private static List<Forecast> forecasts(List<Worker> workers, QueueRule queue, Outlook outlook) {
+    return workers.stream()
+        .filter(worker -> outlook.usable(queue, worker))
+        .map(outlook::of)
+        .toList();
   }
 
   private List<Forecast> usable(Step step, QueueRule queue, Outlook outlook, List<Worker> unknown) {
@@ -109,21 +201,42 @@
   private boolean follow(
       Step step, QueueRule queue, GangPlan plan, GangPlan.Gang gang, Outlook outlook) {
     List<Worker> lapsed = withoutTicket(step, queue, plan);
-    if (plan.startMillis() <= outlook.nowMillis()) {
+    boolean roomNow = plan.startMillis() <= outlook.nowMillis();
+    if (roomNow) {
       Optional<GangPlan> startable =
           lapsed.isEmpty() ? Optional.of(plan) : startNow(gang, step, queue, outlook);
       if (startable.isPresent()) {
         launch(step, startable.get());
         return true;
       }
-      // The room is there: asking for tickets keeps no further room idle, whatever others keep.
-      approvals.ask(step, queue, lapsed);
+      if (approvals.askForTickets(step, queue, withSpares(step, queue, plan, outlook))) {
+        step.claimed = workersOf(plan);
+        step.claimedSinceMillis = outlook.nowMillis();
+        claim(step, queue, plan, outlook);
+        return false;
+      }
     }
-    if (!outlook.keep(plan, step.spec, queue)) {
+    boolean kept = outlook.keep(plan, step.spec, queue);
+    Hold reason =
+        roomNow
+            ? (kept ? Hold.TICKETS_LAPSED : Hold.TICKETS_LAPSED_NOT_KEPT)
+            : (kept ? Hold.ROOM_LATER : Hold.ROOM_LATER_NOT_KEPT);
+    hold(
+        step,
+        queue,
+        reason,
+        outlook,
+        "startsInMs",
+        plan.startMillis() - outlook.nowMillis(),
+        "workers",
+        plan.workers().size(),
+        "withoutTicket",
+        lapsed.size());
+    if (!kept) {
       step.planned = List.of();
       return false;
     }
-    List<Worker> workers = plan.workers().stream().map(Worker.class::cast).toList();
+    List<Worker> workers = workersOf(plan);
     if (step.planned.isEmpty()) {
       ports
           .log()
@@ -138,11 +251,35 @@
               lapsed.size());
     }
     step.planned = workers;
-    workers.forEach(worker -> worker.awaitedMillis = outlook.nowMillis());
     askAhead(step, queue, outlook, plan, lapsed);
     return false;
   }
 
+  /** Counts and tells why a gang has not started. */
+  private void hold(Step step, QueueRule queue, Hold reason, Outlook outlook, Object... facts) {
+    String name = reason.name().toLowerCase(Locale.ROOT);
+    ports.metrics().counter(MetricRegistry.name("gang.holds", name)).inc();
+    long now = outlook.nowMillis();
+    if (now - step.holdToldMillis < HOLD_TOLD_EVERY.toMillis()) {
+      return;
+    }
+    step.holdToldMillis = now;
+    int free = 0;
+    int unreserved = 0;
+    for (Forecast forecast : usable(step, queue, outlook, new ArrayList<>())) {
+      free += Placement.slots(forecast.room(), step.spec, step.name);
+      unreserved += forecast.slotsAt(step.spec, step.name, now);
+    }
+    List<Object> told = new ArrayList<>(List.of("reason", name));
+    told.addAll(List.of("readyForMs", now - step.readyAtMillis));
+    told.addAll(List.of("lateMs", now - step.latestStartMillis));
+    told.addAll(List.of("adviceCalls", step.adviceCalls, "ticketCalls", step.ticketCalls));
+    told.addAll(List.of("tasks", step.tasks.size()));
+    told.addAll(List.of("placesFree", free, "placesUnreserved", unreserved));
+    told.addAll(List.of(facts));
+    ports.log().event("gang-holds", step.name, told.toArray());
+  }
+
   /** Finds room for now among the workers whose tickets hold. */
   private Optional<GangPlan> startNow(
       GangPlan.Gang gang, Step step, QueueRule queue, Outlook outlook) {
@@ -170,12 +307,39 @@
     if (lapsed.isEmpty()) {
       return;
     }
-    long call = queue.advice().orElseThrow().callTime(lapsed.size()).toMillis();
+    List<Worker> workers = workersOf(plan);
+    long call = queue.advice().orElseThrow().callTime(workers.size()).toMillis();
     if (plan.startMillis() - outlook.nowMillis() <= call + WORTH_CHANGING.toMillis()) {
-      approvals.ask(step, queue, lapsed);
+      approvals.askForTickets(step, queue, withSpares(step, queue, plan, outlook));
     }
   }
 
+  /** Adds workers with room, in place of such that are taken before the answer. */
+  private List<Worker> withSpares(Step step, QueueRule queue, GangPlan plan, Outlook outlook) {
+    List<Worker> workers = new ArrayList<>(workersOf(plan));
+    List<Offer> offers = new ArrayList<>();
+    for (Forecast forecast : usable(step, queue, outlook, new ArrayList<>())) {
+      int slots = forecast.slotsAt(step.spec, step.name, plan.startMillis());
+      if (slots > 0 && !workers.contains((Worker) forecast.room())) {
+        offers.add(new Offer((Worker) forecast.room(), slots));
+      }
+    }
+    offers.sort(Comparator.comparingDouble(offer -> -offer.value));
+    double spare = 0;
+    for (Offer offer : offers) {
+      if (spare >= SPARE_SHARE * step.tasks.size()) {
+        break;
+      }
+      workers.add(offer.worker);
+      spare += offer.value;
+    }
+    return workers;
+  }
+
+  private static List<Worker> workersOf(GangPlan plan) {
+    return plan.workers().stream().map(Worker.class::cast).toList();
+  }
+
   /** Asks about the workers that have room for most tasks by the time of the answer. */
   private void askMore(Step step, QueueRule queue, Outlook outlook, List<Worker> unknown) {
     if (unknown.isEmpty() || queue.advice().isEmpty() || step.adviceCalls > 0) {
@@ -217,6 +381,9 @@
       runs.add(run);
     }
     step.planned = List.of();
+    step.claimed = List.of();
+    step.plannedSinceMillis = -1;
+    step.roomSinceMillis = -1;
     for (Run run : runs) {
       launcher.start(run, approvals.ticket(step, run.worker));
     }
--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Step.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Step.java
@@ -26,9 +26,17 @@
   /** The runs of the gang that failed. */
   final Set<Long> failedGangRuns = new TreeSet<>();
 
-  /** Calls for advice on their way. */
+  /** Calls for advice on further workers on their way. */
   int adviceCalls;
 
+  /** Calls for the tickets of a plan on their way. */
+  int ticketCalls;
+
+  /** The workers whose room a gang keeps while it asks for their tickets, and since when. */
+  List<Worker> claimed = List.of();
+
+  long claimedSinceMillis;
+
   long adviceNotBeforeMillis;
 
   /** The latest start that meets the objective, and when it was worked out; negative before. */
@@ -42,9 +50,18 @@
   /** The workers that a gang waits for. */
   List<Worker> planned = List.of();
 
+  /** Since when the gang has had a plan; negative before. */
+  long plannedSinceMillis = -1;
+
   /** When the gang looks at all workers again. */
   long searchAgainMillis;
 
+  /** Since when the gang could have started on approved workers; negative before. */
+  long roomSinceMillis = -1;
+
+  /** When the log last told why the gang has not started. */
+  long holdToldMillis = Long.MIN_VALUE / 2;
+
   /** How many tasks have neither succeeded nor a run, and how many have a run. */
   private int waiting;
 
--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Worker.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Worker.java
@@ -41,6 +41,12 @@
 
   long heardMillis = -1;
 
+  /** When the newest renewal was sent that it answered. */
+  long renewedMillis = -1;
+
+  /** When it last refused a start for a reason of its own; negative before. */
+  long refusedMillis = -1;
+
   /** The worker's clock and when it was read, on the cell's clock. */
   long clockMillis;
 
@@ -67,6 +73,15 @@
   /** Whether the latest pass saw a gang wait for its room. */
   boolean awaited;
 
+  /** The address under which the store lists it as used; empty if it does not. */
+  String listedAddress = "";
+
+  /** The address under which it is listed, or will be with a coming commit; empty if not. */
+  String listingAddress = "";
+
+  /** The number of the latest listing, so that only this one takes effect. */
+  long listing;
+
   /** When all that ran on it has certainly lapsed, if it never answered this epoch. */
   long unheardUntilMillis;
 
@@ -130,6 +145,16 @@
     return clockReadMillis + (long) left + Cell.LAPSE_MARGIN.toMillis();
   }
 
+  /** Tells whether it refused a start and has answered no renewal since. */
+  boolean refuses() {
+    return refusedMillis >= 0 && renewedMillis < refusedMillis;
+  }
+
+  /** Tells whether a later leader would find it without the registry. */
+  boolean listed() {
+    return listedAddress.equals(entry.address());
+  }
+
   boolean gone() {
     return missingSinceMillis >= 0;
   }
--- a/masticspread-cell/src/test/java/org/masticspread/cell/testing/FakeTable.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/testing/FakeTable.java
@@ -4,11 +4,13 @@
 import io.reactivex.rxjava3.core.SingleEmitter;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.function.Predicate;
+import java.util.stream.Stream;
 import org.masticspread.cell.port.CommitResult;
 import org.masticspread.cell.port.CommitResult.Kind;
 import org.masticspread.cell.port.RowPage;
@@ -42,9 +44,14 @@
 
   private final VirtualTime time;
   private final Map<String, TableRow> rows = new TreeMap<>();
+
+  /** The rows that were dropped, as those that follow their table see them. */
+  private final Map<String, TableRow> dropped = new TreeMap<>();
+
   private final List<Fate> fates = new ArrayList<>();
   private final List<TableCommit> commits = new ArrayList<>();
   private Fate fate = Fate.DONE;
+  private Duration commitTime = COMMIT_TIME;
   private long version;
 
   /** Creates an empty store. */
@@ -63,6 +70,11 @@
     fate = all;
   }
 
+  /** Sets how long a transaction takes from now on. */
+  public void commitTime(Duration taken) {
+    commitTime = taken;
+  }
+
   /** Returns all transactions that were sent. */
   public List<TableCommit> commits() {
     return commits;
@@ -92,9 +104,9 @@
     return Single.create(
         emitter -> {
           switch (now) {
-            case DONE -> time.after(COMMIT_TIME, () -> emitter.onSuccess(apply(commit)));
+            case DONE -> time.after(commitTime, () -> emitter.onSuccess(apply(commit)));
             case ANSWER_LOST -> {
-              time.after(COMMIT_TIME, () -> apply(commit));
+              time.after(commitTime, () -> apply(commit));
               time.after(COMMIT_TIMEOUT, () -> emitter.onSuccess(CommitResult.of(Kind.UNKNOWN)));
             }
             case LATE -> {
@@ -127,14 +139,22 @@
     version++;
     for (Put put : commit.puts()) {
       RowName name = put.row();
+      dropped.remove(key(name));
       rows.put(
           key(name),
           new TableRow(name.table(), commit.part(), name.key(), put.value(), version, false));
     }
-    commit.removals().forEach(name -> rows.remove(key(name)));
+    commit.removals().forEach(name -> drop(name, commit.part()));
     return new CommitResult(Kind.DONE, version, List.of());
   }
 
+  private void drop(RowName name, String part) {
+    if (rows.remove(key(name)) != null) {
+      dropped.put(
+          key(name), new TableRow(name.table(), part, name.key(), new byte[0], version, true));
+    }
+  }
+
   @Override
   public Single<RowPage> read(String table, String part, String from, int limit) {
     List<TableRow> found =
@@ -161,8 +181,9 @@
       return;
     }
     List<TableRow> changes =
-        rows.values().stream()
+        Stream.concat(rows.values().stream(), dropped.values().stream())
             .filter(row -> row.table().equals(table) && row.version() > after)
+            .sorted(Comparator.comparingLong(TableRow::version))
             .toList();
     if (!changes.isEmpty() || time.millis() >= until) {
       emitter.onSuccess(new RowPage(changes, false, version));
--- a/masticspread-cell/src/test/java/org/masticspread/cell/testing/FakeWorkers.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/testing/FakeWorkers.java
@@ -37,6 +37,8 @@
   private final List<String> violations = new ArrayList<>();
   private final Set<String> succeeded = new LinkedHashSet<>();
 
+  private final Set<String> hopeless = new LinkedHashSet<>();
+
   /** The steps whose tasks work only together, with the number of their tasks. */
   private final Map<String, Integer> gangs = new HashMap<>();
 
@@ -56,6 +58,16 @@
     public boolean losesNextStart;
     public Duration nextStartLate;
     public Duration stopTakes = Duration.ZERO;
+
+    /** How starts are refused, without effect; null if they are carried out. */
+    public Outcome refusesStarts;
+
+    /** How stops are refused, without effect; null if they are carried out. */
+    public Outcome refusesStops;
+
+    /** Whether another incarnation answers at its address. */
+    public boolean replaced;
+
     public long life = 1;
 
     /** How fast it works; 1 for the run times that were described. */
@@ -138,6 +150,11 @@
     runMillis.put(task, runs.toMillis());
   }
 
+  /** Tells that all tasks of a job fail, wherever they run. */
+  public void describeHopeless(String job) {
+    hopeless.add(job);
+  }
+
   /** Tells that the tasks of a step work only together. */
   public void describeGang(String step, int tasks) {
     gangs.put(step, tasks);
@@ -158,6 +175,38 @@
     return List.copyOf(succeeded);
   }
 
+  /** Tells whether a task succeeded. */
+  public boolean hasSucceeded(String task) {
+    return succeeded.contains(task);
+  }
+
+  /** Tells whether a task runs anywhere. */
+  public boolean runs(String task) {
+    return !places.getOrDefault(task, List.of()).isEmpty();
+  }
+
+  /** Counts how many tasks of a demand have room on a worker beside what runs there. */
+  public int slots(String id, ResourceVector demand) {
+    State state = workers.get(id);
+    return (int)
+        Math.max(0, (state.entry.capacity().millicores() - inUse(state)) / demand.millicores());
+  }
+
+  /** Returns the part of all cores that is in use. */
+  public double shareInUse() {
+    double capacity = 0;
+    double used = 0;
+    for (State state : workers.values()) {
+      capacity += state.entry.capacity().millicores();
+      used += inUse(state);
+    }
+    return used / capacity;
+  }
+
+  private long inUse(State state) {
+    return state.running.keySet().stream().mapToLong(this::demand).sum();
+  }
+
   /** Ends the process of a worker and starts it anew. */
   public void restart(String id) {
     State state = workers.get(id);
@@ -171,9 +220,26 @@
     state.life++;
   }
 
+  /** Ends a worker; another incarnation, with another id, answers at its address. */
+  public void replace(String id) {
+    restart(id);
+    workers.get(id).replaced = true;
+  }
+
+  private Single<OrderResult> refused(Outcome outcome) {
+    return Single.create(
+        emitter -> time.after(LATENCY, () -> emitter.onSuccess(OrderResult.of(outcome))));
+  }
+
   @Override
   public Single<OrderResult> start(WorkerEntry worker, Start order) {
     State state = workers.get(worker.id());
+    if (state.replaced) {
+      return refused(Outcome.OTHER_LIFE);
+    }
+    if (state.refusesStarts != null) {
+      return refused(state.refusesStarts);
+    }
     boolean lost = state.silent || state.losesNextStart || state.nextStartLate != null;
     Duration late = state.nextStartLate;
     boolean neverArrives = state.silent || state.losesNextStart;
@@ -319,7 +385,8 @@
 
   private void finish(State state, RunState run) {
     if (state.running.get(run.task) == run) {
-      end(state, run, state.failsAll ? EndKind.FAILED : EndKind.SUCCEEDED);
+      boolean fails = state.failsAll || hopeless.contains(jobOf(run.task));
+      end(state, run, fails ? EndKind.FAILED : EndKind.SUCCEEDED);
     }
   }
 
@@ -343,6 +410,12 @@
   @Override
   public Single<OrderResult> stop(WorkerEntry worker, String task, long run, long token) {
     State state = workers.get(worker.id());
+    if (state.replaced) {
+      return refused(Outcome.OTHER_LIFE);
+    }
+    if (state.refusesStops != null) {
+      return refused(state.refusesStops);
+    }
     return Single.create(
         emitter -> {
           if (state.silent) {
@@ -381,6 +454,10 @@
   @Override
   public Single<RenewResult> renew(WorkerEntry worker, Renewal renewal) {
     State state = workers.get(worker.id());
+    if (state.replaced) {
+      return refused(Outcome.OTHER_LIFE)
+          .map(result -> new RenewResult(result.outcome(), Optional.empty()));
+    }
     return Single.create(
         emitter -> {
           if (state.silent) {
@@ -395,7 +472,10 @@
               () -> {
                 if (!answered[0] && !state.silent) {
                   answered[0] = true;
-                  emitter.onSuccess(look(state, renewal));
+                  emitter.onSuccess(
+                      state.replaced
+                          ? new RenewResult(Outcome.UNKNOWN, Optional.empty())
+                          : look(state, renewal));
                 }
               };
           boolean news = state.lastEnd > renewal.acknowledged();
