--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Gangs.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Gangs.java
@@ -8,6 +8,7 @@
 import java.util.Locale;
 import java.util.Optional;
 import org.masticspread.cell.policy.Forecast;
+import org.masticspread.cell.policy.GangPatience;
 import org.masticspread.cell.policy.GangPlan;
 import org.masticspread.cell.policy.Placement;
 import org.masticspread.cell.policy.Room;
@@ -30,12 +31,15 @@
   /** Between two searches among all workers; in between a gang keeps to those of its plan. */
   private static final Duration SEARCH_EVERY = Duration.ofMillis(100);
 
-  /** A gang that would wait longer than this asks about further workers. */
+  /** A gang that waits longer than this in all asks about further workers. */
   private static final Duration LONG_WAIT = Duration.ofMillis(800);
 
   /** Between two lines of the log that tell why the same gang has not started. */
   private static final Duration HOLD_TOLD_EVERY = Duration.ofMillis(500);
 
+  /** A gang keeps the room for which it asks for tickets so long at most. */
+  private static final Duration LONGEST_CLAIM = Duration.ofSeconds(3);
+
   /** Members of a broken gang end by themselves sooner than this. */
   private static final Duration PARTIAL = Duration.ofMillis(600);
 
@@ -73,6 +77,9 @@
             step.name,
             cell.expectedMillis(queue, step.spec),
             ports.limits().farSlowdown());
+    if (launchOrClaim(step, queue, gang, outlook)) {
+      return;
+    }
     Optional<GangPlan> kept = keptPlan(gang, step, queue, outlook);
     if (outlook.nowMillis() < step.searchAgainMillis) {
       kept.ifPresent(plan -> follow(step, queue, plan, gang, outlook));
@@ -97,26 +104,79 @@
       return;
     }
     long limit = best.get().endMillis() + WORTH_CHANGING.toMillis();
-    GangPlan plan = kept.filter(k -> k.endMillis() <= limit).orElse(best.get());
+    GangPlan wanted = kept.filter(k -> k.endMillis() <= limit).orElse(best.get());
+    GangPlan plan = unlessImpatient(wanted, step, gang, usable, outlook);
     boolean started = follow(step, queue, plan, gang, outlook);
-    if (!started && plan.startMillis() - outlook.nowMillis() > LONG_WAIT.toMillis()) {
+    if (step.plannedSinceMillis < 0) {
+      step.plannedSinceMillis = outlook.nowMillis();
+    }
+    if (!started && plan.startMillis() - step.plannedSinceMillis > LONG_WAIT.toMillis()) {
       askMore(step, queue, outlook, unknown);
     }
   }
 
+  /** Returns a plan, or in place of one that starts later one that starts now. */
+  private static GangPlan unlessImpatient(
+      GangPlan plan, Step step, GangPlan.Gang gang, List<Forecast> usable, Outlook outlook) {
+    long now = outlook.nowMillis();
+    Optional<GangPlan> atOnce = GangPlan.findNow(gang, usable, now);
+    if (atOnce.isEmpty()) {
+      return plan;
+    }
+    if (step.roomSinceMillis < 0) {
+      step.roomSinceMillis = now;
+    }
+    boolean later = plan.startMillis() > now;
+    boolean waits = later && GangPatience.waits(atOnce.get(), plan, now - step.roomSinceMillis);
+    return later && !waits ? atOnce.get() : plan;
+  }
+
+  /**
+   * Starts a gang when the answer about its tickets is there; until then keeps the room that it
+   * asked for, so that no other gang takes it meanwhile.
+   *
+   * @return whether it was started or its room is kept
+   */
+  private boolean launchOrClaim(Step step, QueueRule queue, GangPlan.Gang gang, Outlook outlook) {
+    if (step.claimed.isEmpty()) {
+      return false;
+    }
+    if (step.adviceCalls == 0) {
+      step.claimed = List.of();
+      Optional<GangPlan> startable = startNow(gang, step, queue, outlook);
+      startable.ifPresent(plan -> launch(step, plan));
+      return startable.isPresent();
+    }
+    boolean tooLong = outlook.nowMillis() - step.claimedSinceMillis > LONGEST_CLAIM.toMillis();
+    Optional<GangPlan> plan =
+        GangPlan.findNow(gang, forecasts(step.claimed, queue, outlook), outlook.nowMillis());
+    if (tooLong || plan.isEmpty()) {
+      step.claimed = List.of();
+      return false;
+    }
+    claim(step, queue, plan.get(), outlook);
+    return true;
+  }
+
+  private void claim(Step step, QueueRule queue, GangPlan plan, Outlook outlook) {
+    outlook.claim(plan, step.spec);
+    hold(step, queue, Hold.TICKETS_LAPSED, outlook, "workers", plan.workers().size());
+  }
+
   /** Returns the plan that those workers of the former plan allow that are still usable. */
   private Optional<GangPlan> keptPlan(
       GangPlan.Gang gang, Step step, QueueRule queue, Outlook outlook) {
     if (step.planned.isEmpty()) {
       return Optional.empty();
     }
-    List<Forecast> former = new ArrayList<>();
-    for (Worker worker : step.planned) {
-      if (outlook.usable(queue, worker)) {
-        former.add(outlook.of(worker));
-      }
-    }
-    return GangPlan.find(gang, former, outlook.nowMillis());
+    return GangPlan.find(gang, forecasts(step.planned, queue, outlook), outlook.nowMillis());
+  }
+
+  private static List<Forecast> forecasts(List<Worker> workers, QueueRule queue, Outlook outlook) {
+    return workers.stream()
+        .filter(worker -> outlook.usable(queue, worker))
+        .map(outlook::of)
+        .toList();
   }
 
   private List<Forecast> usable(Step step, QueueRule queue, Outlook outlook, List<Worker> unknown) {
@@ -146,8 +206,12 @@
         launch(step, startable.get());
         return true;
       }
-      // The room is there: asking for tickets keeps no further room idle, whatever others keep.
-      approvals.ask(step, queue, lapsed);
+      if (approvals.askForTickets(step, queue, workersOf(plan))) {
+        step.claimed = workersOf(plan);
+        step.claimedSinceMillis = outlook.nowMillis();
+        claim(step, queue, plan, outlook);
+        return false;
+      }
     }
     boolean kept = outlook.keep(plan, step.spec, queue);
     Hold reason =
@@ -169,7 +233,7 @@
       step.planned = List.of();
       return false;
     }
-    List<Worker> workers = plan.workers().stream().map(Worker.class::cast).toList();
+    List<Worker> workers = workersOf(plan);
     if (step.planned.isEmpty()) {
       ports
           .log()
@@ -184,7 +248,6 @@
               lapsed.size());
     }
     step.planned = workers;
-    workers.forEach(worker -> worker.awaitedMillis = outlook.nowMillis());
     askAhead(step, queue, outlook, plan, lapsed);
     return false;
   }
@@ -240,12 +303,17 @@
     if (lapsed.isEmpty()) {
       return;
     }
-    long call = queue.advice().orElseThrow().callTime(lapsed.size()).toMillis();
+    List<Worker> workers = workersOf(plan);
+    long call = queue.advice().orElseThrow().callTime(workers.size()).toMillis();
     if (plan.startMillis() - outlook.nowMillis() <= call + WORTH_CHANGING.toMillis()) {
-      approvals.ask(step, queue, lapsed);
+      approvals.askForTickets(step, queue, workers);
     }
   }
 
+  private static List<Worker> workersOf(GangPlan plan) {
+    return plan.workers().stream().map(Worker.class::cast).toList();
+  }
+
   /** Asks about the workers that have room for most tasks by the time of the answer. */
   private void askMore(Step step, QueueRule queue, Outlook outlook, List<Worker> unknown) {
     if (unknown.isEmpty() || queue.advice().isEmpty() || step.adviceCalls > 0) {
@@ -287,6 +355,9 @@
       runs.add(run);
     }
     step.planned = List.of();
+    step.claimed = List.of();
+    step.plannedSinceMillis = -1;
+    step.roomSinceMillis = -1;
     for (Run run : runs) {
       launcher.start(run, approvals.ticket(step, run.worker));
     }
