--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Gangs.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Gangs.java
@@ -329,7 +329,8 @@
     offers.sort(Comparator.comparingDouble(offer -> -offer.value));
     double spare = 0;
     for (Offer offer : offers) {
-      if (spare >= SPARE_SHARE * step.tasks.size()) {
+      boolean enough = spare >= SPARE_SHARE * step.tasks.size();
+      if (enough || workers.size() >= Approvals.MOST_WORKERS_PER_CALL) {
         break;
       }
       workers.add(offer.worker);
