--- a/masticspread-cell/src/test/java/org/masticspread/cell/engine/GangTicketTest.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/engine/GangTicketTest.java
@@ -28,10 +28,10 @@
           Jobs.config(
               Jobs.queue("checks", 0, Optional.empty()),
               Jobs.queue("layouts", 1, Optional.of(RULE))),
-          GangTicketTest::oneCallAtATime,
+          GangTicketTest::serialAdvisor,
           List.of("vm-1"));
 
-  private static Advice.Caller oneCallAtATime(VirtualTime time) {
+  private static Advice.Caller serialAdvisor(VirtualTime time) {
     long[] freeAt = {0};
     return (vm, step, ids, timeout) -> {
       freeAt[0] = Math.max(time.millis(), freeAt[0]) + RULE.callTime(ids.size()).toMillis();
