A plan that starts now is not searched for once more; comment of the advice desk

Found on reading the whole change again: each search of a gang planned twice, also where the first plan starts now and the second is not used. The comment of the desk told an order that was tried and not taken.

--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/AdviceDesk.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/AdviceDesk.java
@@ -16,8 +16,8 @@
 /**
  * Spreads questions to the advisor over the VMs. They wait here and not at a VM, so that the most
  * urgent one goes to the next VM that is free; long ones never occupy all VMs ({@link
- * AdviceLanes}). Among the others those of gangs that hold room go first, then by the time of
- * asking and the latest start, so that none starves.
+ * AdviceLanes}). Among the others those of gangs that hold room go first, then what has waited for
+ * long, so that none starves, then by the latest start.
  */
 public final class AdviceDesk implements Advice {
   /** Added to a call's time at the advisor: two hops between VMs and to the advisor. */
--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Gangs.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Gangs.java
@@ -122,16 +122,16 @@
   private static GangPlan unlessImpatient(
       GangPlan plan, Step step, GangPlan.Gang gang, List<Forecast> usable, Outlook outlook) {
     long now = outlook.nowMillis();
-    Optional<GangPlan> atOnce = GangPlan.findNow(gang, usable, now);
+    boolean later = plan.startMillis() > now;
+    Optional<GangPlan> atOnce = later ? GangPlan.findNow(gang, usable, now) : Optional.of(plan);
     if (atOnce.isEmpty()) {
       return plan;
     }
     if (step.roomSinceMillis < 0) {
       step.roomSinceMillis = now;
     }
-    boolean later = plan.startMillis() > now;
     boolean waits = later && GangPatience.waits(atOnce.get(), plan, now - step.roomSinceMillis);
-    return later && !waits ? atOnce.get() : plan;
+    return waits ? plan : atOnce.get();
   }
 
   /**
