Observability: age and source of the configuration, version in each decision

ConfigFollower takes the configuration out of Vm. No decision changes; VmTest and TableFollowerTest pass.

--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Cell.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Cell.java
@@ -272,6 +272,10 @@
     return (int) List.copyOf(fleet.all()).stream().filter(fleet::usable).count();
   }
 
+  long configVersion() {
+    return config.version();
+  }
+
   Optional<QueueRule> queue(Job job) {
     return config.queue(job.order.queue());
   }
@@ -465,6 +469,8 @@
               order.id(),
               "queue",
               order.queue(),
+              "config",
+              config.version(),
               "expectedMs",
               decision.expected().toMillis(),
               "objectiveMs",
@@ -513,6 +519,8 @@
             order.id(),
             "queue",
             order.queue(),
+            "config",
+            config.version(),
             "reason",
             reason,
             "retryAfterMs",
--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Launcher.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Launcher.java
@@ -83,6 +83,8 @@
             run.number,
             "worker",
             worker.id(),
+            "config",
+            cell.configVersion(),
             "freeMillicores",
             worker.free().millicores(),
             "heardMsAgo",
--- a/masticspread-cell/src/main/java/org/masticspread/cell/lead/TableFollower.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/lead/TableFollower.java
@@ -1,6 +1,7 @@
 package org.masticspread.cell.lead;
 
 import java.time.Duration;
+import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.List;
 import org.masticspread.cell.log.EventLog;
@@ -38,6 +39,7 @@
 
   private final TablePort store;
   private final Timers timers;
+  private final InstantSource clock;
   private final EventLog log;
   private final String table;
   private final String part;
@@ -46,25 +48,35 @@
   private boolean refreshing;
   private boolean storeLost;
   private long version;
+  private long confirmedMillis;
 
   /**
    * Creates a follower.
    *
    * @param store the store
    * @param timers schedules retries
+   * @param clock a monotonic clock
    * @param log records when the table is lost and regained
    * @param table the table
    * @param part its part
    * @param listener receives the rows
    */
   public TableFollower(
-      TablePort store, Timers timers, EventLog log, String table, String part, Listener listener) {
+      TablePort store,
+      Timers timers,
+      InstantSource clock,
+      EventLog log,
+      String table,
+      String part,
+      Listener listener) {
     this.store = store;
     this.timers = timers;
+    this.clock = clock;
     this.log = log;
     this.table = table;
     this.part = part;
     this.listener = listener;
+    this.confirmedMillis = clock.millis();
   }
 
   /** Starts to follow the part. */
@@ -77,12 +89,23 @@
     closed = true;
   }
 
+  /**
+   * Returns the latest time at which the rows passed on were certainly all that the store had.
+   *
+   * @return the time of the clock, in ms; before the first answer of the store, the time at which
+   *     the follower was created
+   */
+  public long confirmedMillis() {
+    return confirmedMillis;
+  }
+
   /** Reads all rows once in addition to following changes; runs one read at a time. */
   public void refresh() {
     if (refreshing) {
       return;
     }
     refreshing = true;
+    long sentMillis = clock.millis();
     var unused =
         store
             .read(table, part, "", PAGE_ROWS)
@@ -90,6 +113,7 @@
                 page -> {
                   refreshing = false;
                   if (!closed && !page.hasMore()) {
+                    confirm(sentMillis);
                     listener.onRows(page.rows(), true);
                   }
                 },
@@ -100,7 +124,11 @@
   }
 
   private void readAll() {
-    readPages(new ArrayList<>(), "", Long.MAX_VALUE);
+    readPages(new ArrayList<>(), "", Long.MAX_VALUE, clock.millis());
+  }
+
+  private void confirm(long asOfMillis) {
+    confirmedMillis = Math.max(confirmedMillis, asOfMillis);
   }
 
   /**
@@ -110,18 +138,20 @@
    * @param from the first key of the page
    * @param since the oldest version of the previous pages; following from it includes changes made
    *     to them while later pages are read
+   * @param startedMillis when the first page was requested
    */
-  private void readPages(List<TableRow> before, String from, long since) {
+  private void readPages(List<TableRow> before, String from, long since, long startedMillis) {
     if (closed) {
       return;
     }
     var unused =
         store
             .read(table, part, from, PAGE_ROWS)
-            .subscribe(page -> onPage(before, page, since), error -> onError(error, false));
+            .subscribe(
+                page -> onPage(before, page, since, startedMillis), error -> onError(error, false));
   }
 
-  private void onPage(List<TableRow> before, RowPage page, long since) {
+  private void onPage(List<TableRow> before, RowPage page, long since, long startedMillis) {
     if (closed) {
       return;
     }
@@ -129,11 +159,12 @@
     long oldest = Math.min(since, page.version());
     if (page.hasMore() && !page.rows().isEmpty()) {
       String last = page.rows().get(page.rows().size() - 1).key();
-      readPages(before, last + '\0', oldest);
+      readPages(before, last + '\0', oldest, startedMillis);
       return;
     }
     markReached();
     version = oldest;
+    confirm(startedMillis);
     listener.onRows(before, true);
     follow();
   }
@@ -142,17 +173,20 @@
     if (closed) {
       return;
     }
+    long sentMillis = clock.millis();
     var unused =
         store
             .follow(table, version, POLL_TIMEOUT)
-            .subscribe(this::onChanges, error -> onError(error, true));
+            .subscribe(page -> onChanges(page, sentMillis), error -> onError(error, true));
   }
 
-  private void onChanges(RowPage page) {
+  private void onChanges(RowPage page, long sentMillis) {
     if (closed) {
       return;
     }
     markReached();
+    // An answer without changes was held by the store for the whole time of the poll.
+    confirm(page.rows().isEmpty() ? sentMillis + POLL_TIMEOUT.toMillis() : sentMillis);
     version = Math.max(version, page.version());
     List<TableRow> changed = page.rows().stream().filter(row -> row.part().equals(part)).toList();
     if (!changed.isEmpty()) {
--- a/masticspread-cell/src/main/java/org/masticspread/cell/lead/Vm.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/lead/Vm.java
@@ -76,8 +76,7 @@
   private final long startedMillis;
   private final TableFollower vmFollower;
   private final TableFollower leaderFollower;
-  private final TableFollower configFollower;
-  private Optional<CellConfig> config = Optional.empty();
+  private final ConfigFollower configs;
   private Optional<Cell> cell = Optional.empty();
   private Optional<TableFollower> workerFollower = Optional.empty();
   private Optional<Journal> journal = Optional.empty();
@@ -97,17 +96,17 @@
     this.membership = new Membership(self, ports.clock());
     this.startedMillis = ports.clock().millis();
     this.election = new LeaderElection(ports, membership, new ElectionCallbacks());
-    this.handover = new Handover(ports, membership, election, this::configVersion);
+    this.configs = new ConfigFollower(ports, this::configure);
+    this.handover = new Handover(ports, membership, election, configs::version);
     this.storeCheck = new StoreCheck(ports.store(), ports.timers());
     this.storeFailureDetector = new StoreFailureDetector(ports.clock());
     this.vmFollower = follower(Rows.VM_TABLE, Rows.VM_PART, this::onVmRows);
     this.leaderFollower = follower(Rows.LEADER_TABLE, Rows.PART, this::onLeaderRows);
-    this.configFollower =
-        follower(ports.operatorConfig().table(), ports.operatorConfig().part(), this::onConfigRows);
   }
 
   private TableFollower follower(String table, String part, TableFollower.Listener listener) {
-    return new TableFollower(ports.store(), ports.timers(), ports.log(), table, part, listener);
+    return new TableFollower(
+        ports.store(), ports.timers(), ports.clock(), ports.log(), table, part, listener);
   }
 
   /**
@@ -118,7 +117,7 @@
   public void start(Consumer<CellConfig> listener) {
     configListener = listener;
     VmGauges.register(ports.metrics(), this);
-    configFollower.start();
+    configs.start();
     register();
     vmFollower.start();
     leaderFollower.start();
@@ -173,7 +172,17 @@
    * @return the newest configuration that this VM has, or empty before the first
    */
   public Optional<CellConfig> config() {
-    return config;
+    return configs.config();
+  }
+
+  /** Returns the time since the configuration was certainly the newest, in ms. */
+  long configAgeMillis() {
+    return configs.age().toMillis();
+  }
+
+  /** Returns the time since the registry of the workers was certainly up to date, in ms. */
+  long workerRegistryAgeMillis() {
+    return workerFollower.map(f -> ports.clock().millis() - f.confirmedMillis()).orElse(0L);
   }
 
   /**
@@ -352,15 +361,15 @@
       reply.accept(CellReply.of(CellReply.Outcome.NOT_LEADING, "epoch " + election.epoch()));
       return;
     }
-    if (call.configVersion() > configVersion()) {
-      configFollower.refresh();
+    if (call.configVersion() > configs.version()) {
+      configs.refresh();
     }
     cell.get().handle(call, reply);
   }
 
   private void answer(VmProbe probe, CompletableFuture<PeerMessage> answer) {
-    if (probe.configVersion() > configVersion()) {
-      configFollower.refresh();
+    if (probe.configVersion() > configs.version()) {
+      configs.refresh();
     }
     if (probe.epoch() > election.epoch()) {
       election.readLeaderRow();
@@ -427,19 +436,15 @@
         election.epoch(),
         election.leader().map(LeaderRecord::vm).orElse(""),
         election.leader().map(LeaderRecord::life).orElse(""),
-        configVersion(),
+        configs.version(),
         hearsLeader,
         storeReached,
         election.isStopping(),
         ports.clock().millis() - startedMillis,
-        cell.isPresent() || config.isEmpty(),
+        cell.isPresent() || configs.config().isEmpty(),
         cellLoader.map(CellLoader::rowsRead).orElse(0L));
   }
 
-  private long configVersion() {
-    return config.map(CellConfig::version).orElse(0L);
-  }
-
   private void onVmRows(List<TableRow> rows, boolean all) {
     List<String> names = new ArrayList<>();
     for (TableRow row : rows) {
@@ -466,26 +471,7 @@
     }
   }
 
-  private void onConfigRows(List<TableRow> rows, boolean all) {
-    for (TableRow row : rows) {
-      ports.operatorConfig().decoder().apply(row).ifPresent(this::configure);
-    }
-  }
-
   private void configure(CellConfig newer) {
-    if (newer.version() <= configVersion()) {
-      return;
-    }
-    ports
-        .log()
-        .event(
-            "config-applied",
-            Long.toString(newer.version()),
-            "before",
-            configVersion(),
-            "queues",
-            newer.queues().size());
-    config = Optional.of(newer);
     configListener.accept(newer);
     cell.ifPresent(c -> c.configure(newer));
   }
@@ -533,7 +519,7 @@
     if (election.epoch() != term.epoch()) {
       return;
     }
-    if (config.isEmpty() || workers.isEmpty()) {
+    if (configs.config().isEmpty() || workers.isEmpty()) {
       ports
           .timers()
           .after(
@@ -559,7 +545,7 @@
                 ports.metrics(),
                 ports.limits(),
                 ports.meter()),
-            config.get(),
+            configs.config().get(),
             election::onFenced);
     stored.jobs().forEach(job -> newCell.restore(job.record(), job.progress()));
     journal = Optional.of(newJournal);
@@ -708,12 +694,12 @@
 
     @Override
     public long configVersion() {
-      return Vm.this.configVersion();
+      return configs.version();
     }
 
     @Override
     public void configOutdated() {
-      configFollower.refresh();
+      configs.refresh();
     }
   }
 
--- a/masticspread-cell/src/main/java/org/masticspread/cell/lead/VmGauges.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/lead/VmGauges.java
@@ -14,6 +14,8 @@
     gauge(registry, "vm.hears.leader", () -> vm.leaderReachable() ? 1 : 0);
     gauge(registry, "vm.epoch", vm::epoch);
     gauge(registry, "config.version", () -> vm.config().map(CellConfig::version).orElse(0L));
+    gauge(registry, "config.age.ms", vm::configAgeMillis);
+    gauge(registry, "workers.age.ms", vm::workerRegistryAgeMillis);
     gauge(registry, "store.failing.ms", vm::storeFailingMillis);
     gauge(registry, "cell.jobs.open", () -> vm.cell().map(Cell::openJobs).orElse(0));
     gauge(registry, "cell.workers", () -> vm.cell().map(Cell::workers).orElse(0));
--- a/masticspread-cell/src/test/java/org/masticspread/cell/lead/TableFollowerTest.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/lead/TableFollowerTest.java
@@ -37,6 +37,7 @@
     new TableFollower(
             table,
             time,
+            time,
             (event, id, facts) -> {},
             "servers",
             PART,
