--- a/masticspread-cell/src/main/java/org/masticspread/cell/lead/TableFollower.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/lead/TableFollower.java
@@ -19,6 +19,9 @@
   /** How long the store may hold a long poll. The next poll finds changes that were lost. */
   private static final Duration POLL_TIMEOUT = Duration.ofSeconds(4);
 
+  /** Added to the time of a long poll; a slow store takes about 250 ms for an answer. */
+  private static final Duration POLL_MARGIN = Duration.ofMillis(1200);
+
   /** The delay between attempts while the store does not answer. */
   private static final Duration RETRY_DELAY = Duration.ofMillis(150);
 
@@ -176,7 +179,7 @@
     long sentMillis = clock.millis();
     var unused =
         store
-            .follow(table, version, POLL_TIMEOUT)
+            .follow(table, version, POLL_TIMEOUT, POLL_MARGIN)
             .subscribe(page -> onChanges(page, sentMillis), error -> onError(error, true));
   }
 
--- a/masticspread-cell/src/main/java/org/masticspread/cell/port/TablePort.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/port/TablePort.java
@@ -31,7 +31,8 @@
    * @param table the table
    * @param after the version up to which changes are known
    * @param wait the maximum time to wait for a change
+   * @param margin the additional time after which the store counts as not answering
    * @return the changes in order; none if the wait timed out
    */
-  Single<RowPage> follow(String table, long after, Duration wait);
+  Single<RowPage> follow(String table, long after, Duration wait, Duration margin);
 }
--- /dev/null
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/lead/ConfigFollowerTest.java
@@ -0,0 +1,67 @@
+package org.masticspread.cell.lead;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.masticspread.cell.testing.Jobs;
+import org.masticspread.cell.testing.VmCluster;
+import org.masticspread.model.cell.CellConfig;
+
+/** Tests that each VM applies a configuration within the time promised to operators. */
+class ConfigFollowerTest {
+  /** From the acknowledgement by the store until a configuration is in force on each VM. */
+  private static final Duration APPLY_BOUND = Duration.ofSeconds(2);
+
+  private static final List<String> VMS = List.of("vm-1", "vm-2", "vm-3");
+
+  private final VmCluster cluster = new VmCluster(config(1));
+
+  private static CellConfig config(long version) {
+    return Jobs.config(version, Jobs.queue("checks", 0, Optional.empty()));
+  }
+
+  @BeforeEach
+  void start() {
+    cluster.workers.add("w1", "r1", 8000);
+    cluster.start("vm-1", 1.0);
+    cluster.start("vm-2", 2.0);
+    cluster.start("vm-3", 0.5);
+    pass(Duration.ofMillis(2500));
+  }
+
+  private void pass(Duration duration) {
+    cluster.time.pass(duration);
+  }
+
+  private List<Long> versions() {
+    return VMS.stream()
+        .map(name -> cluster.vm(name).config().map(CellConfig::version).orElse(0L))
+        .toList();
+  }
+
+  @Nested
+  class SilentConnections {
+    @Tag("known-red")
+    @ParameterizedTest
+    @ValueSource(ints = {0, 100, 500, 900, 1300, 2000, 3000})
+    void should_apply_a_change_in_time_when_all_open_connections_go_silent(int millisBefore) {
+      // GIVEN
+      cluster.silenceConnections();
+      pass(Duration.ofMillis(millisBefore));
+
+      // WHEN
+      cluster.configure(config(2));
+      pass(APPLY_BOUND);
+
+      // THEN
+      assertThat(versions()).containsOnly(2L);
+    }
+  }
+}
--- a/masticspread-cell/src/test/java/org/masticspread/cell/testing/FakeTable.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/testing/FakeTable.java
@@ -168,7 +168,7 @@
   }
 
   @Override
-  public Single<RowPage> follow(String table, long after, Duration wait) {
+  public Single<RowPage> follow(String table, long after, Duration wait, Duration margin) {
     long until = time.millis() + wait.toMillis();
     return Single.create(
         emitter -> time.after(POLL_INTERVAL, () -> poll(table, after, until, emitter)));
--- a/masticspread-cell/src/test/java/org/masticspread/cell/testing/Jobs.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/testing/Jobs.java
@@ -129,8 +129,13 @@
 
   /** Returns the first version of a configuration. */
   public static CellConfig config(QueueRule... queues) {
+    return config(1, queues);
+  }
+
+  /** Returns a version of a configuration. */
+  public static CellConfig config(long version, QueueRule... queues) {
     return new CellConfig(
-        1,
+        version,
         List.of(queues),
         List.of(new EndpointRule("desk", "/health", 64, false, false)),
         262_144,
--- a/masticspread-cell/src/test/java/org/masticspread/cell/testing/VmCluster.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/testing/VmCluster.java
@@ -2,8 +2,11 @@
 
 import com.codahale.metrics.MetricRegistry;
 import io.reactivex.rxjava3.core.Single;
+import io.reactivex.rxjava3.core.SingleEmitter;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -27,6 +30,7 @@
 import org.masticspread.cell.port.TableCommit.Put;
 import org.masticspread.cell.port.TableCommit.RowName;
 import org.masticspread.cell.port.TablePort;
+import org.masticspread.cell.port.TableRow;
 import org.masticspread.cell.port.WorkerEntry;
 import org.masticspread.cell.port.WorkerPort;
 import org.masticspread.model.cell.CellConfig;
@@ -47,6 +51,12 @@
 public final class VmCluster {
   private static final Duration LATENCY = Duration.ofMillis(2);
 
+  /** How long calls on silent connections between VMs get no answer: three heartbeat intervals. */
+  private static final Duration PEER_SILENCE = Duration.ofSeconds(3);
+
+  /** The timeout of calls to the store that are answered at once. */
+  private static final Duration STORE_TIMEOUT = Duration.ofSeconds(1);
+
   /** A frame between VMs and its packet headers. */
   private static final int FRAME_OVERHEAD_BYTES = 60;
 
@@ -69,11 +79,18 @@
   public final FakeTable table = new FakeTable(time);
   public final FakeWorkers workers = new FakeWorkers(time);
   public final List<String> events = new ArrayList<>();
-  private final CellConfig config;
+  private final Map<Long, CellConfig> configs = new HashMap<>();
+  private CellConfig config;
   private final Map<String, Member> members = new LinkedHashMap<>();
   private final Set<String> cutFromStore = new HashSet<>();
   private final Set<String> cutFromPeers = new HashSet<>();
   private final Set<String> unregistered = new HashSet<>();
+
+  /** The VMs whose open connections to the store went silent, until a call on one times out. */
+  private final Set<String> silentToStore = new HashSet<>();
+
+  private int silences;
+  private long peersSilentUntilMillis;
   private VmLimits limits = VmLimits.NONE;
   private VmAdvisor advisor = (vm, step, ids, timeout) -> Single.just(approveAll(ids));
   private int incarnations;
@@ -100,12 +117,35 @@
 
   /** Creates a cluster without VMs. */
   public VmCluster(CellConfig config) {
-    this.config = config;
+    configure(config);
+  }
+
+  /** Writes a configuration as the operator would; it is acknowledged at once. */
+  public void configure(CellConfig newest) {
+    config = newest;
+    configs.put(newest.version(), newest);
+    byte[] value = Long.toString(newest.version()).getBytes(StandardCharsets.UTF_8);
+    table.apply(
+        new TableCommit(
+            ExternalRows.PART,
+            List.of(),
+            List.of(new Put(new RowName("op", "config"), value)),
+            List.of()));
+  }
+
+  /**
+   * Lets all open connections go silent, without an end, while new ones work. A connection between
+   * VMs is replaced after three heartbeat intervals at the latest.
+   */
+  public void silenceConnections() {
+    silences++;
+    silentToStore.addAll(members.keySet());
+    peersSilentUntilMillis = time.millis() + PEER_SILENCE.toMillis();
   }
 
   /** Starts or restarts a VM. */
   public void start(String name, double strength) {
-    write("op", "config");
+    silentToStore.remove(name);
     workers.entries().forEach(entry -> register(entry.id()));
     String incarnation = "life-" + ++incarnations;
     Vm[] created = new Vm[1];
@@ -118,7 +158,7 @@
             (step, ids, timeout) -> advisor.ask(name, step, ids, timeout),
             (to, message, timeout) -> callPeer(name, incarnation, to, message, timeout),
             new VmPorts.Source<>("servers", ExternalRows.PART, row -> entry(row.key())),
-            new VmPorts.Source<>("op", ExternalRows.PART, row -> Optional.of(config)),
+            new VmPorts.Source<>("op", ExternalRows.PART, this::decodeConfig),
             (delay, action) ->
                 time.after(
                     delay,
@@ -172,6 +212,10 @@
     }
   }
 
+  private Optional<CellConfig> decodeConfig(TableRow row) {
+    return Optional.of(configs.get(Long.valueOf(new String(row.value(), StandardCharsets.UTF_8))));
+  }
+
   private Optional<WorkerEntry> entry(String id) {
     return workers.entries().stream().filter(entry -> entry.id().equals(id)).findFirst();
   }
@@ -265,7 +309,10 @@
       String from, String incarnation, VmId to, PeerMessage message, Duration timeout) {
     CompletableFuture<PeerMessage> answer = new CompletableFuture<>();
     Member target = members.get(to.value());
-    boolean cut = cutFromPeers.contains(from) || cutFromPeers.contains(to.value());
+    boolean cut =
+        cutFromPeers.contains(from)
+            || cutFromPeers.contains(to.value())
+            || time.millis() < peersSilentUntilMillis;
     if (target == null || target.vm == null) {
       time.after(
           LATENCY, () -> answer.completeExceptionally(PeerException.refused("not listening")));
@@ -418,48 +465,66 @@
 
     @Override
     public Single<CommitResult> commit(TableCommit commit) {
-      if (reachable()) {
-        return callOver(
-            queues,
-            sizeOfCommit(commit),
-            () -> table.commit(commit),
-            result -> HTTP_RESPONSE_BYTES);
-      }
-      return Single.create(
-          emitter ->
-              time.after(
-                  Duration.ofSeconds(1),
-                  () -> emitter.onSuccess(CommitResult.of(CommitResult.Kind.UNKNOWN))));
+      return call(
+              sizeOfCommit(commit),
+              STORE_TIMEOUT,
+              () -> table.commit(commit),
+              result -> HTTP_RESPONSE_BYTES)
+          .onErrorReturnItem(CommitResult.of(CommitResult.Kind.UNKNOWN));
     }
 
     @Override
     public Single<RowPage> read(String name, String part, String from, int limit) {
-      return reachable()
-          ? callOver(
-              queues,
-              HTTP_REQUEST_BYTES,
-              () -> table.read(name, part, from, limit),
-              VmCluster::sizeOfPage)
-          : unreachable();
+      return call(
+          HTTP_REQUEST_BYTES,
+          STORE_TIMEOUT,
+          () -> table.read(name, part, from, limit),
+          VmCluster::sizeOfPage);
     }
 
     @Override
-    public Single<RowPage> follow(String name, long after, Duration wait) {
-      return reachable()
-          ? callOver(
-              queues,
-              HTTP_REQUEST_BYTES,
-              () -> table.follow(name, after, wait),
-              VmCluster::sizeOfPage)
-          : unreachable();
+    public Single<RowPage> follow(String name, long after, Duration wait, Duration margin) {
+      return call(
+          HTTP_REQUEST_BYTES,
+          wait.plus(margin),
+          () -> table.follow(name, after, wait, margin),
+          VmCluster::sizeOfPage);
+    }
+
+    /** Calls the store; a call on a silent connection fails after its timeout. */
+    private <T> Single<T> call(
+        long bytes, Duration timeout, Supplier<Single<T>> request, ToIntFunction<T> sizeOfAnswer) {
+      if (!reachable()) {
+        return timeout(STORE_TIMEOUT);
+      }
+      if (silentToStore.contains(vm)) {
+        return timeout(timeout);
+      }
+      int silencesBefore = silences;
+      return Single.<T>create(
+          emitter -> {
+            var unused =
+                callOver(queues, bytes, request, sizeOfAnswer)
+                    .subscribe(
+                        answer -> {
+                          if (silences == silencesBefore) {
+                            emitter.onSuccess(answer);
+                          }
+                        },
+                        emitter::tryOnError);
+            time.after(timeout, () -> expire(emitter));
+          });
     }
 
-    private Single<RowPage> unreachable() {
-      return Single.create(
-          emitter ->
-              time.after(
-                  Duration.ofSeconds(1),
-                  () -> emitter.onError(new StoreReadException(false, "cut", null))));
+    private <T> Single<T> timeout(Duration timeout) {
+      return Single.create(emitter -> time.after(timeout, () -> expire(emitter)));
+    }
+
+    private void expire(SingleEmitter<?> emitter) {
+      if (!emitter.isDisposed()) {
+        silentToStore.remove(vm);
+        emitter.tryOnError(new StoreReadException(false, "timeout", null));
+      }
     }
   }
 }
