Fix a refresh that drops what it read from a table of several pages

What callers saw: nothing yet; by reading. A VM that learns from a peer that its configuration is old reads the operator's table once more. With over 100 rows there, such as waves of upkeep, the answer had a further page and was dropped without a log line, each time.

Cause: refresh took only answers that fit one page. Fix: refresh asks for the changes since the version that is known, which is as small as what has changed, and abandons the poll in flight. Evidence: should_learn_a_change_of_a_table_of_several_pages failed before.

--- a/masticspread-cell/src/main/java/org/masticspread/cell/lead/TableFollower.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/lead/TableFollower.java
@@ -48,8 +48,14 @@
   private final String part;
   private final Listener listener;
   private boolean closed;
-  private boolean refreshing;
   private boolean storeLost;
+
+  /** How long the store may hold the poll in flight; zero while rows are read. */
+  private Duration holdInFlight = Duration.ZERO;
+
+  /** The number of the poll in flight; answers to earlier polls are ignored. */
+  private int pollNumber;
+
   private long version;
   private long confirmedMillis;
 
@@ -102,28 +108,14 @@
     return confirmedMillis;
   }
 
-  /** Reads all rows once in addition to following changes; runs one read at a time. */
+  /**
+   * Asks the store for changes at once and abandons the poll in flight, whose answer may never
+   * arrive. Does nothing while rows are read or such a request is in flight.
+   */
   public void refresh() {
-    if (refreshing) {
-      return;
+    if (!closed && !holdInFlight.isZero()) {
+      follow(Duration.ZERO);
     }
-    refreshing = true;
-    long sentMillis = clock.millis();
-    var unused =
-        store
-            .read(table, part, "", PAGE_ROWS)
-            .subscribe(
-                page -> {
-                  refreshing = false;
-                  if (!closed && !page.hasMore()) {
-                    confirm(sentMillis);
-                    listener.onRows(page.rows(), true);
-                  }
-                },
-                error -> {
-                  refreshing = false;
-                  log.event("store-read-failed", table, "reason", error.getMessage());
-                });
   }
 
   private void readAll() {
@@ -173,23 +165,34 @@
   }
 
   private void follow() {
+    follow(POLL_TIMEOUT);
+  }
+
+  private void follow(Duration hold) {
     if (closed) {
       return;
     }
+    int number = ++pollNumber;
+    holdInFlight = hold;
     long sentMillis = clock.millis();
     var unused =
         store
-            .follow(table, version, POLL_TIMEOUT, POLL_MARGIN)
-            .subscribe(page -> onChanges(page, sentMillis), error -> onError(error, true));
+            .follow(table, version, hold, POLL_MARGIN)
+            .subscribe(
+                page -> ifCurrent(number, () -> onChanges(page, sentMillis, hold)),
+                error -> ifCurrent(number, () -> onError(error, true)));
   }
 
-  private void onChanges(RowPage page, long sentMillis) {
-    if (closed) {
-      return;
+  private void ifCurrent(int number, Runnable action) {
+    if (!closed && number == pollNumber) {
+      action.run();
     }
+  }
+
+  private void onChanges(RowPage page, long sentMillis, Duration hold) {
     markReached();
     // An answer without changes was held by the store for the whole time of the poll.
-    confirm(page.rows().isEmpty() ? sentMillis + POLL_TIMEOUT.toMillis() : sentMillis);
+    confirm(page.rows().isEmpty() ? sentMillis + hold.toMillis() : sentMillis);
     version = Math.max(version, page.version());
     List<TableRow> changed = page.rows().stream().filter(row -> row.part().equals(part)).toList();
     if (!changed.isEmpty()) {
@@ -202,6 +205,7 @@
     if (closed) {
       return;
     }
+    holdInFlight = Duration.ZERO;
     boolean historyGone = error instanceof StoreReadException read && read.historyGone();
     if (!storeLost) {
       storeLost = true;
--- a/masticspread-cell/src/test/java/org/masticspread/cell/lead/TableFollowerTest.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/lead/TableFollowerTest.java
@@ -2,14 +2,20 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.reactivex.rxjava3.core.Single;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.masticspread.cell.port.CommitResult;
+import org.masticspread.cell.port.RowPage;
 import org.masticspread.cell.port.TableCommit;
 import org.masticspread.cell.port.TableCommit.Put;
 import org.masticspread.cell.port.TableCommit.RowName;
+import org.masticspread.cell.port.TablePort;
 import org.masticspread.cell.testing.FakeTable;
 import org.masticspread.cell.testing.VirtualTime;
 
@@ -30,29 +36,81 @@
     return new RowName("servers", String.format("%03d", number));
   }
 
-  private void follow() {
+  private TableFollower follow() {
     for (int i = 0; i < ROWS; i++) {
       put(row(i));
     }
-    new TableFollower(
+    TableFollower follower =
+        follower(
             table,
-            time,
-            time,
-            (event, id, facts) -> {},
-            "servers",
-            PART,
             (rows, all) ->
                 rows.stream()
                     .filter(row -> !all)
-                    .forEach(row -> (row.deleted() ? deletedRows : changedRows).add(row.key())))
-        .start();
+                    .forEach(row -> (row.deleted() ? deletedRows : changedRows).add(row.key())));
+    follower.start();
     time.pass(UNTIL_MID_READ);
+    return follower;
+  }
+
+  private TableFollower follower(TablePort store, TableFollower.Listener listener) {
+    return new TableFollower(
+        store, time, time, (event, id, facts) -> {}, "servers", PART, listener);
   }
 
   private void put(RowName row) {
     table.apply(new TableCommit(PART, List.of(), List.of(new Put(row, new byte[] {1})), List.of()));
   }
 
+  /** The table on a connection on which no change arrives while it is silent. */
+  private final class SilencedTable implements TablePort {
+    private boolean silent;
+
+    @Override
+    public Single<CommitResult> commit(TableCommit commit) {
+      return table.commit(commit);
+    }
+
+    @Override
+    public Single<RowPage> read(String name, String part, String from, int limit) {
+      return table.read(name, part, from, limit);
+    }
+
+    @Override
+    public Single<RowPage> follow(String name, long after, Duration wait, Duration margin) {
+      return table
+          .follow(name, after, wait, margin)
+          .flatMap(p -> silent ? Single.never() : Single.just(p));
+    }
+  }
+
+  @Nested
+  class Refresh {
+    @Test
+    void should_learn_a_change_of_a_table_of_several_pages() {
+      // GIVEN
+      SilencedTable store = new SilencedTable();
+      Set<String> known = new HashSet<>();
+      for (int i = 0; i < ROWS; i++) {
+        put(row(i));
+      }
+      TableFollower follower =
+          follower(store, (rows, all) -> rows.forEach(row -> known.add(row.key())));
+      follower.start();
+      time.pass(Duration.ofSeconds(1));
+      store.silent = true;
+      put(row(ROWS));
+      time.pass(Duration.ofMillis(100));
+      store.silent = false;
+
+      // WHEN
+      follower.refresh();
+      time.pass(Duration.ofMillis(100));
+
+      // THEN
+      assertThat(known).contains(row(ROWS).key());
+    }
+  }
+
   @Nested
   class ChangeWhileReading {
     @Test
