Fix a feed that ends for good when its listener fails

What callers saw: nothing yet; by reading. One exception while a change is handled, in a decoder or in the cell, ended the feed of that table on that VM: no later configuration, worker or leader was read until the process ended.

Cause: the next poll was sent after the listener had returned. Fix: the exception is logged as rows-not-handled and the feed goes on. Evidence: should_keep_following_after_the_listener_failed failed before.

--- a/masticspread-cell/src/main/java/org/masticspread/cell/lead/TableFollower.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/lead/TableFollower.java
@@ -160,7 +160,7 @@
     markReached();
     version = oldest;
     confirm(startedMillis);
-    listener.onRows(before, true);
+    notifyListener(before, true);
     follow();
   }
 
@@ -196,11 +196,20 @@
     version = Math.max(version, page.version());
     List<TableRow> changed = page.rows().stream().filter(row -> row.part().equals(part)).toList();
     if (!changed.isEmpty()) {
-      listener.onRows(changed, false);
+      notifyListener(changed, false);
     }
     follow();
   }
 
+  /** Passes rows on; a listener that fails must not end the feed. */
+  private void notifyListener(List<TableRow> rows, boolean all) {
+    try {
+      listener.onRows(rows, all);
+    } catch (RuntimeException e) {
+      log.event("rows-not-handled", table, "rows", rows.size(), "reason", String.valueOf(e));
+    }
+  }
+
   private void onError(Throwable error, boolean following) {
     if (closed) {
       return;
--- a/masticspread-cell/src/test/java/org/masticspread/cell/lead/TableFollowerTest.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/lead/TableFollowerTest.java
@@ -111,6 +111,34 @@
     }
   }
 
+  @Nested
+  class FailingListener {
+    @Test
+    void should_keep_following_after_the_listener_failed() {
+      // GIVEN
+      List<String> seen = new ArrayList<>();
+      follower(
+              table,
+              (rows, all) -> {
+                rows.forEach(row -> seen.add(row.key()));
+                if (!rows.isEmpty()) {
+                  throw new IllegalStateException("cannot handle the rows");
+                }
+              })
+          .start();
+      time.pass(Duration.ofMillis(100));
+      put(row(1));
+      time.pass(Duration.ofMillis(100));
+
+      // WHEN
+      put(row(2));
+      time.pass(Duration.ofMillis(100));
+
+      // THEN
+      assertThat(seen).containsExactly("001", "002");
+    }
+  }
+
   @Nested
   class ChangeWhileReading {
     @Test
