Fix VMs that stay on an old configuration while the store turns them away

Cause: versions travelled between VMs, configurations did not; the VM that was behind could only read the store. Fix: a VM that learns of a newer version, from a status, a probe or a call, and does not get it from the store within 80 ms, reads the row from that VM, with the bytes and the row version of the store, so that no VM invents or reverts one. A VM that neither the store nor the leader confirms for 1.3 s probes up to six others, so it needs only one VM that reaches the store, whoever leads.

Evidence: should_apply_a_change_that_only_other_vms_can_read and should_apply_a_change_from_a_vm_that_does_not_lead failed before.

--- a/masticspread-cell/src/main/java/org/masticspread/cell/lead/ConfigFollower.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/lead/ConfigFollower.java
@@ -1,19 +1,27 @@
 package org.masticspread.cell.lead;
 
 import java.time.Duration;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.masticspread.cell.port.TableRow;
 import org.masticspread.model.cell.CellConfig;
+import org.masticspread.model.id.VmId;
+import org.masticspread.model.peer.CellConfigRow;
+import org.masticspread.model.peer.ReadCellConfig;
 import org.masticspread.model.peer.VmStatus;
+import org.masticspread.model.work.Payload;
 
 /**
- * Follows the configuration of the operator. Confined to the VM's thread.
+ * Follows the configuration of the operator, from the store and from other VMs that have a newer
+ * one. Confined to the VM's thread.
  *
  * <pre>{@code
- * ConfigFollower configs = new ConfigFollower(ports, newer -> cell.configure(newer));
+ * ConfigFollower configs =
+ *     new ConfigFollower(ports, election::leading, this::probeOthers, cell::configure);
  * configs.start();
  * configs.config().flatMap(config -> config.match(host, path));
  * }</pre>
@@ -36,11 +44,26 @@
    */
   private static final Duration REFRESH_AGE = Duration.ofMillis(1300);
 
+  /**
+   * How long to wait for the store before a configuration is read from a VM that has a newer one;
+   * the store normally notifies all VMs of a change within this time.
+   */
+  private static final Duration READ_DELAY = Duration.ofMillis(80);
+
+  private static final Duration READ_TIMEOUT = Duration.ofMillis(400);
+
+  /** The interval at which a VM whose configuration is not confirmed probes other VMs. */
+  private static final Duration PROBE_INTERVAL = Duration.ofMillis(400);
+
   private final VmPorts ports;
   private final BooleanSupplier leading;
+  private final Runnable probeOthers;
   private final Consumer<CellConfig> listener;
   private final TableFollower table;
+  private final Set<VmId> reading = new HashSet<>();
   private Optional<CellConfig> config = Optional.empty();
+  private Optional<TableRow> row = Optional.empty();
+  private long lastProbeMillis = Long.MIN_VALUE / 2;
   private long peerConfirmedMillis = Long.MIN_VALUE / 2;
   private boolean outdated;
 
@@ -49,11 +72,15 @@
    *
    * @param ports the ports of the VM
    * @param leading returns whether this VM leads the cell
+   * @param probeOthers probes other VMs, because neither the store nor the leader has confirmed the
+   *     configuration for a while; their status is passed to {@link #onStatus}
    * @param listener receives each newer configuration
    */
-  ConfigFollower(VmPorts ports, BooleanSupplier leading, Consumer<CellConfig> listener) {
+  ConfigFollower(
+      VmPorts ports, BooleanSupplier leading, Runnable probeOthers, Consumer<CellConfig> listener) {
     this.ports = ports;
     this.leading = leading;
+    this.probeOthers = probeOthers;
     this.listener = listener;
     this.table =
         new TableFollower(
@@ -97,15 +124,88 @@
   /**
    * Learns from the status of another VM that the configuration is the newest, or is not.
    *
+   * @param vm the other VM
    * @param status the status
    * @param askedMillis when the VM was asked
    */
-  void onStatus(VmStatus status, long askedMillis) {
+  void onStatus(VmId vm, VmStatus status, long askedMillis) {
     if (status.configVersion() == version()) {
       peerConfirmedMillis = Math.max(peerConfirmedMillis, askedMillis - status.configAgeMillis());
-    } else if (status.configVersion() > version()) {
-      refresh();
+    } else {
+      onVersion(vm, status.configVersion());
+    }
+  }
+
+  /**
+   * Learns which version another VM uses. If that is newer, and the store does not deliver it soon,
+   * it is read from that VM.
+   *
+   * @param vm the other VM
+   * @param version its version
+   */
+  void onVersion(VmId vm, long version) {
+    if (version <= version() || !reading.add(vm)) {
+      return;
     }
+    ports.timers().after(READ_DELAY, () -> readFrom(vm, version));
+  }
+
+  private void readFrom(VmId vm, long version) {
+    if (version <= version()) {
+      reading.remove(vm);
+      return;
+    }
+    refresh();
+    long sentMillis = ports.clock().millis();
+    ports
+        .peers()
+        .call(vm, new ReadCellConfig(version()), READ_TIMEOUT)
+        .whenComplete(
+            (answer, error) ->
+                ports
+                    .timers()
+                    .after(
+                        Duration.ZERO,
+                        () -> {
+                          reading.remove(vm);
+                          if (answer instanceof CellConfigRow received) {
+                            onReceived(vm, received, sentMillis);
+                          }
+                        }));
+  }
+
+  private void onReceived(VmId vm, CellConfigRow received, long sentMillis) {
+    if (received.key().isEmpty()) {
+      return;
+    }
+    TableRow newer =
+        new TableRow(
+            ports.operatorConfig().table(),
+            ports.operatorConfig().part(),
+            received.key(),
+            received.value().bytes(),
+            received.rowVersion(),
+            false);
+    Optional<CellConfig> decoded = ports.operatorConfig().decoder().apply(newer);
+    decoded.ifPresent(value -> apply(value, newer, vm.value()));
+    if (decoded.isPresent() && decoded.get().version() == version()) {
+      peerConfirmedMillis = Math.max(peerConfirmedMillis, sentMillis - received.ageMillis());
+    }
+  }
+
+  /**
+   * Returns the row of the configuration for another VM.
+   *
+   * @param knownVersion the version that the other VM has
+   * @return the row, or one without a key if there is no newer one
+   */
+  CellConfigRow rowNewerThan(long knownVersion) {
+    if (version() <= knownVersion) {
+      return new CellConfigRow("", Payload.EMPTY, 0, age().toMillis());
+    }
+    TableRow newest = row.orElseThrow();
+    return new CellConfigRow(
+        newest.key(), new Payload(newest.value()), newest.version(), age().toMillis());
   }
 
   private Duration hold() {
@@ -117,12 +217,16 @@
   }
 
   private void onRows(List<TableRow> rows, boolean all) {
-    for (TableRow row : rows) {
-      ports.operatorConfig().decoder().apply(row).ifPresent(newer -> apply(newer, row.version()));
+    for (TableRow changed : rows) {
+      ports
+          .operatorConfig()
+          .decoder()
+          .apply(changed)
+          .ifPresent(newer -> apply(newer, changed, "store"));
     }
   }
 
-  private void apply(CellConfig newer, long rowVersion) {
+  private void apply(CellConfig newer, TableRow source, String sender) {
     if (newer.version() <= version()) {
       return;
     }
@@ -134,14 +238,15 @@
             "before",
             version(),
             "row",
-            rowVersion,
+            source.version(),
             "source",
-            "store",
+            sender,
             "ageMs",
             config.isEmpty() ? 0 : age().toMillis(),
             "queues",
             newer.queues().size());
     config = Optional.of(newer);
+    row = Optional.of(source);
     listener.accept(newer);
   }
 
@@ -149,6 +254,7 @@
   private void checkAge() {
     if (age().compareTo(REFRESH_AGE) >= 0) {
       refresh();
+      probePeriodically();
     }
     boolean tooOld = config.isPresent() && age().compareTo(MAX_AGE) > 0;
     if (tooOld != outdated) {
@@ -163,4 +269,12 @@
     }
     ports.timers().after(AGE_CHECK_INTERVAL, this::checkAge);
   }
+
+  private void probePeriodically() {
+    long now = ports.clock().millis();
+    if (now - lastProbeMillis >= PROBE_INTERVAL.toMillis()) {
+      lastProbeMillis = now;
+      probeOthers.run();
+    }
+  }
 }
--- a/masticspread-cell/src/main/java/org/masticspread/cell/lead/Membership.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/lead/Membership.java
@@ -16,6 +16,9 @@
   /** A VM probes the leader at least twice within this time. */
   private static final Duration RECENTLY_HEARD = Duration.ofMillis(2200);
 
+  /** Bounds the probes of a VM that looks for a newer configuration, whatever the fleet size. */
+  private static final int PROBED = 3;
+
   /** Strongest first, since the leader does most of the work; ties are broken by name. */
   private static final Comparator<VmRecord> STRONGEST_FIRST =
       Comparator.comparingDouble((VmRecord vm) -> -vm.strength()).thenComparing(VmRecord::vm);
@@ -24,6 +27,7 @@
   private final InstantSource clock;
   private final Map<String, VmRecord> vms = new LinkedHashMap<>();
   private final Map<String, Long> lastHeardMillis = new HashMap<>();
+  private int probeTurn;
 
   Membership(VmRecord self, InstantSource clock) {
     this.self = self;
@@ -67,6 +71,23 @@
     return others;
   }
 
+  /**
+   * Returns other VMs to probe: those that were heard from last, and some of the rest in turn, so
+   * that each of them comes up after a while.
+   */
+  List<VmRecord> nextToProbe() {
+    List<VmRecord> others = others();
+    others.sort(
+        Comparator.comparingLong(
+            (VmRecord vm) -> -lastHeardMillis.getOrDefault(vm.vm(), Long.MIN_VALUE / 2)));
+    List<VmRecord> chosen = new ArrayList<>(others.subList(0, Math.min(PROBED, others.size())));
+    List<VmRecord> rest = others.subList(chosen.size(), others.size());
+    for (int i = 0; i < Math.min(PROBED, rest.size()); i++) {
+      chosen.add(rest.get(Math.floorMod(probeTurn++, rest.size())));
+    }
+    return chosen;
+  }
+
   /** Returns the VMs that were heard from recently, and this one. */
   List<String> recentlyHeard() {
     List<String> heard = new ArrayList<>();
--- a/masticspread-cell/src/main/java/org/masticspread/cell/lead/Vm.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/lead/Vm.java
@@ -32,6 +32,7 @@
 import org.masticspread.model.peer.PeerHandler;
 import org.masticspread.model.peer.PeerMessage;
 import org.masticspread.model.peer.PeerPort;
+import org.masticspread.model.peer.ReadCellConfig;
 import org.masticspread.model.peer.VmProbe;
 import org.masticspread.model.peer.VmStatus;
 import org.masticspread.model.result.InvalidFieldException;
@@ -66,6 +67,9 @@
   /** How long to wait for an invited VM to take over before this VM proceeds. */
   private static final Duration HANDOVER_TIMEOUT = Duration.ofMillis(1200);
 
+  /** The timeout of probes of VMs other than the leader. */
+  private static final Duration PROBE_TIMEOUT = Duration.ofMillis(400);
+
   /** The interval for checking whether all that a cell needs to start has been read. */
   private static final Duration LOAD_POLL_INTERVAL = Duration.ofMillis(10);
 
@@ -99,7 +103,7 @@
     this.membership = new Membership(self, ports.clock());
     this.startedMillis = ports.clock().millis();
     this.election = new LeaderElection(ports, membership, new ElectionCallbacks());
-    this.configs = new ConfigFollower(ports, election::leading, this::configure);
+    this.configs = new ConfigFollower(ports, election::leading, this::probeOthers, this::configure);
     this.handover = new Handover(ports, membership, election, configs::version);
     this.storeCheck = new StoreCheck(ports.store(), ports.timers());
     this.storeFailureDetector = new StoreFailureDetector(ports.clock());
@@ -127,12 +131,25 @@
         answer.thenAccept(
             received -> {
               if (received instanceof VmStatus status) {
-                ports.timers().after(Duration.ZERO, () -> configs.onStatus(status, sentMillis));
+                ports.timers().after(Duration.ZERO, () -> configs.onStatus(to, status, sentMillis));
               }
             });
     return answer;
   }
 
+  /** Probes the VMs that were heard from last, and some of the others in turn. */
+  private void probeOthers() {
+    for (VmRecord other : membership.nextToProbe()) {
+      var unused =
+          ports
+              .peers()
+              .call(
+                  VmId.of(other.vm()),
+                  new VmProbe(false, false, election.epoch(), configs.version()),
+                  PROBE_TIMEOUT);
+    }
+  }
+
   /**
    * Registers the VM and starts to follow the configuration and the leader.
    *
@@ -356,6 +373,7 @@
   private void handle(VmId from, PeerMessage message, CompletableFuture<PeerMessage> answer) {
     membership.heard(from.value());
     if (message instanceof CellCall call) {
+      configs.onVersion(from, call.configVersion());
       answer(call, answer::complete);
     } else if (message instanceof AdviceCall call) {
       var unused =
@@ -364,7 +382,10 @@
               .ask(call.step(), call.workers(), Duration.ofMillis(call.timeoutMillis()))
               .subscribe(answer::complete, answer::completeExceptionally);
     } else if (message instanceof VmProbe probe) {
+      configs.onVersion(from, probe.configVersion());
       answer(probe, answer);
+    } else if (message instanceof ReadCellConfig request) {
+      answer.complete(configs.rowNewerThan(request.knownVersion()));
     } else if (message instanceof LeadCell invitation) {
       answer(invitation, answer);
     } else {
@@ -385,16 +406,10 @@
       reply.accept(CellReply.of(CellReply.Outcome.NOT_LEADING, "epoch " + election.epoch()));
       return;
     }
-    if (call.configVersion() > configs.version()) {
-      configs.refresh();
-    }
     cell.get().handle(call, reply);
   }
 
   private void answer(VmProbe probe, CompletableFuture<PeerMessage> answer) {
-    if (probe.configVersion() > configs.version()) {
-      configs.refresh();
-    }
     if (probe.epoch() > election.epoch()) {
       election.readLeaderRow();
     }
--- a/masticspread-cell/src/test/java/org/masticspread/cell/lead/ConfigFollowerTest.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/lead/ConfigFollowerTest.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.masticspread.cell.testing.Jobs;
@@ -62,4 +63,57 @@
       assertThat(versions()).containsOnly(2L);
     }
   }
+
+  @Nested
+  class StoreTurnsVmsAway {
+    @Test
+    void should_apply_a_change_that_only_other_vms_can_read() {
+      // GIVEN
+      cluster.cutFromStore("vm-1", true);
+      cluster.cutFromStore("vm-3", true);
+      pass(Duration.ofSeconds(6));
+
+      // WHEN
+      cluster.configure(config(2));
+      pass(APPLY_BOUND);
+
+      // THEN
+      assertThat(versions()).containsOnly(2L);
+    }
+
+    @Test
+    void should_apply_a_change_from_a_vm_that_does_not_lead() {
+      // GIVEN
+      cluster.cutFromStore("vm-3", true);
+      cluster.cutLink("vm-3", "vm-2", true);
+      pass(Duration.ofSeconds(6));
+
+      // WHEN
+      cluster.configure(config(2));
+      pass(APPLY_BOUND);
+
+      // THEN
+      assertThat(versions()).containsOnly(2L);
+    }
+
+    @Test
+    void should_keep_a_newer_version_when_a_vm_with_an_older_one_answers() {
+      // GIVEN
+      cluster.cutFromStore("vm-3", true);
+      cluster.cutFromPeers("vm-3", true);
+      pass(Duration.ofSeconds(6));
+      cluster.configure(config(2));
+      pass(APPLY_BOUND);
+      assertThat(versions()).containsExactly(2L, 2L, 1L);
+
+      // WHEN
+      cluster.cutFromPeers("vm-3", false);
+      cluster.cutFromStore("vm-1", true);
+      cluster.cutFromStore("vm-2", true);
+      pass(APPLY_BOUND);
+
+      // THEN
+      assertThat(versions()).containsOnly(2L);
+    }
+  }
 }
--- a/masticspread-cell/src/test/java/org/masticspread/cell/testing/VmCluster.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/testing/VmCluster.java
@@ -84,6 +84,7 @@
   private final Map<String, Member> members = new LinkedHashMap<>();
   private final Set<String> cutFromStore = new HashSet<>();
   private final Set<String> cutFromPeers = new HashSet<>();
+  private final Set<Set<String>> cutLinks = new HashSet<>();
   private final Set<String> unregistered = new HashSet<>();
 
   /** The VMs whose open connections to the store went silent, until a call on one times out. */
@@ -245,11 +246,16 @@
     addOrRemove(cutFromPeers, name, cut);
   }
 
-  private static void addOrRemove(Set<String> set, String name, boolean add) {
+  /** Cuts the link between two VMs, or reconnects them. */
+  public void cutLink(String one, String other, boolean cut) {
+    addOrRemove(cutLinks, Set.of(one, other), cut);
+  }
+
+  private static <T> void addOrRemove(Set<T> set, T element, boolean add) {
     if (add) {
-      set.add(name);
+      set.add(element);
     } else {
-      set.remove(name);
+      set.remove(element);
     }
   }
 
@@ -312,6 +318,7 @@
     boolean cut =
         cutFromPeers.contains(from)
             || cutFromPeers.contains(to.value())
+            || cutLinks.contains(Set.of(from, to.value()))
             || time.millis() < peersSilentUntilMillis;
     if (target == null || target.vm == null) {
       time.after(
--- a/masticspread-wire/src/main/java/org/masticspread/wire/MessageTypes.java
+++ b/masticspread-wire/src/main/java/org/masticspread/wire/MessageTypes.java
@@ -12,6 +12,7 @@
 import org.masticspread.model.peer.AskInFlight;
 import org.masticspread.model.peer.CancelJob;
 import org.masticspread.model.peer.CellCall;
+import org.masticspread.model.peer.CellConfigRow;
 import org.masticspread.model.peer.CellReply;
 import org.masticspread.model.peer.ConfigFetched;
 import org.masticspread.model.peer.Digest;
@@ -26,6 +27,7 @@
 import org.masticspread.model.peer.ListJobs;
 import org.masticspread.model.peer.PeerMessage;
 import org.masticspread.model.peer.PlaceTasks;
+import org.masticspread.model.peer.ReadCellConfig;
 import org.masticspread.model.peer.ReadJob;
 import org.masticspread.model.peer.ReleaseGang;
 import org.masticspread.model.peer.ReportTasks;
@@ -87,7 +89,9 @@
           entry(131, AdviceReply.class),
           entry(132, VmProbe.class),
           entry(133, VmStatus.class),
-          entry(134, LeadCell.class));
+          entry(134, LeadCell.class),
+          entry(135, ReadCellConfig.class),
+          entry(136, CellConfigRow.class));
 
   private static final Map<Class<?>, Integer> NUMBERS =
       TYPES.entrySet().stream().collect(Collectors.toMap(Map.Entry::getValue, Map.Entry::getKey));
