Fix jobs decided by an older configuration than their caller's VM uses

A leader that is behind the VM that took a call waited 0.8 s for the version that the call names, then went on with its own: a job of an added queue was refused as if there were no such queue, one of a moved queue was accepted and started on the old endpoint.

Cause: a check that goes on, after some tries, with what it has. Fix: a new job is decided by the version that its call names, or refused with Retry-After. Calls about jobs that are known do not depend on the configuration and no longer wait for it.

Evidence: should_not_start_a_job_where_its_queue_has_moved_from and should_show_a_job_without_waiting_for_the_newer_configuration failed before.

--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Cell.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Cell.java
@@ -96,9 +96,12 @@
   /** Interval at which a call checks for a configuration version that its sender already uses. */
   private static final Duration CONFIG_POLL_INTERVAL = Duration.ofMillis(40);
 
-  /** Number of checks after which a call is handled with the configuration in force. */
+  /** Number of checks after which a job is refused, since its queue cannot be known. */
   private static final int MAX_CONFIG_POLLS = 20;
 
+  /** Retry delay told to callers until the configuration that their VM uses is read. */
+  private static final Duration CONFIG_RETRY_AFTER = Duration.ofSeconds(1);
+
   /** Run numbers reserved for each epoch; no task is started this often in one. */
   private static final long RUN_NUMBERS_PER_EPOCH = 1000;
 
@@ -356,7 +359,15 @@
     if (closed) {
       return;
     }
-    if (call.configVersion() > config.version() && polls < MAX_CONFIG_POLLS) {
+    if (needsNewerConfig(call)) {
+      if (polls >= MAX_CONFIG_POLLS) {
+        refuse(
+            call.order(),
+            reply,
+            CONFIG_RETRY_AFTER,
+            "configuration " + call.configVersion() + " has not been read yet");
+        return;
+      }
       ports.timers().after(CONFIG_POLL_INTERVAL, () -> handle(call, reply, polls + 1));
       return;
     }
@@ -377,6 +388,14 @@
     }
   }
 
+  /** Returns whether the sender of a new job chose its queue by a newer configuration. */
+  private boolean needsNewerConfig(CellCall call) {
+    return call.action() == CellCall.Action.SUBMIT
+        && call.configVersion() > config.version()
+        && jobs.find(call.job()).isEmpty()
+        && jobs.ended(call.job()).isEmpty();
+  }
+
   private void submit(JobOrder order, Consumer<CellReply> reply) {
     if (jobs.ended(order.id()).isPresent()) {
       reply.accept(CellReply.of(CellReply.Outcome.ACCEPTED, "the job has ended"));
--- a/masticspread-cell/src/test/java/org/masticspread/cell/engine/CellTest.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/engine/CellTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import org.junit.jupiter.api.AfterEach;
@@ -17,6 +18,7 @@
 import org.masticspread.model.cell.CellConfig;
 import org.masticspread.model.cell.JobOrder;
 import org.masticspread.model.cell.JobState;
+import org.masticspread.model.peer.CellCall;
 import org.masticspread.model.peer.CellCall.Action;
 import org.masticspread.model.peer.CellReply;
 import org.masticspread.model.peer.CellReply.Outcome;
@@ -798,4 +800,55 @@
           .count();
     }
   }
+
+  @Nested
+  class OlderConfigurationThanTheCaller {
+    private List<CellReply> submitByVersion(long version, JobOrder order) {
+      List<CellReply> replies = new ArrayList<>();
+      fixture.cell.handle(
+          new CellCall(Action.SUBMIT, order.queue(), version, order.id(), order), replies::add);
+      return replies;
+    }
+
+    @Test
+    void should_not_start_a_job_where_its_queue_has_moved_from() {
+      // WHEN
+      List<CellReply> replies = submitByVersion(2, job("a", 1, 500, SHORT, false));
+      advance(3000);
+
+      // THEN
+      assertThat(replies).extracting(CellReply::outcome).containsExactly(Outcome.REFUSED);
+      assertThat(replies.get(0).retryAfterMillis()).isPositive();
+      assertThat(fixture.startsOf("a.0.0.0")).isZero();
+    }
+
+    @Test
+    void should_accept_a_job_of_an_added_queue_once_its_version_is_read() {
+      // GIVEN
+      List<CellReply> replies =
+          submitByVersion(2, Jobs.job("a", "added", Jobs.step(1, 500, SHORT, false)));
+      advance(400);
+
+      // WHEN
+      fixture.cell.configure(Jobs.config(2, Jobs.queue("added", 0, Optional.empty())));
+      advance(200);
+
+      // THEN
+      assertThat(replies).extracting(CellReply::outcome).containsExactly(Outcome.ACCEPTED);
+    }
+
+    @Test
+    void should_show_a_job_without_waiting_for_the_newer_configuration() {
+      // GIVEN
+      fixture.accept(job("a", 1, 500, SHORT, false));
+      List<CellReply> replies = new ArrayList<>();
+
+      // WHEN
+      fixture.cell.handle(new CellCall(Action.SHOW, "checks", 2, "a", null), replies::add);
+      advance(5);
+
+      // THEN
+      assertThat(replies).extracting(CellReply::outcome).containsExactly(Outcome.SHOWN);
+    }
+  }
 }
