Fix VMs that don't notice that the leader decided by a newer configuration

A VM that is behind forwards a call, the leader decides it by a newer version, and the VM goes on deciding by its own until its next probe, up to 1 s later: an older version after a newer one took effect, at the VM that saw the effect.

Cause: CellReply carried no version, so the caller's VM could not compare. Fix: the reply names the version, and a VM reads a newer one as after a probe. The gateway calls peers through the VM's ports, so no answer is left out.

--- a/masticspread-cell/src/main/java/org/masticspread/cell/gateway/Gateway.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/gateway/Gateway.java
@@ -48,11 +48,10 @@
   /**
    * Creates a gateway.
    *
-   * @param ports the ports of the VM
    * @param vm the VM
    */
-  public Gateway(VmPorts ports, Vm vm) {
-    this.ports = ports;
+  public Gateway(Vm vm) {
+    this.ports = vm.ports();
     this.vm = vm;
     QueueCallbacks callbacks = new QueueCallbacks();
     this.reads = new LeaderCallQueue(ports, vm, callbacks);
--- a/masticspread-cell/src/main/java/org/masticspread/cell/lead/Vm.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/lead/Vm.java
@@ -123,7 +123,17 @@
         listener);
   }
 
-  /** Calls another VM and learns from its status whether the configuration is the newest. */
+  /**
+   * Returns the ports of the VM. What other VMs answer through them also tells this VM whether its
+   * configuration is the newest.
+   *
+   * @return the ports
+   */
+  public VmPorts ports() {
+    return ports;
+  }
+
+  /** Calls another VM and learns from its answer whether the configuration is the newest. */
   private CompletionStage<PeerMessage> callPeer(VmId to, PeerMessage message, Duration timeout) {
     long sentMillis = ports.clock().millis();
     CompletionStage<PeerMessage> answer = peers.call(to, message, timeout);
@@ -132,6 +142,10 @@
             received -> {
               if (received instanceof VmStatus status) {
                 ports.timers().after(Duration.ZERO, () -> configs.onStatus(to, status, sentMillis));
+              } else if (received instanceof CellReply reply) {
+                ports
+                    .timers()
+                    .after(Duration.ZERO, () -> configs.onVersion(to, reply.configVersion()));
               }
             });
     return answer;
@@ -406,7 +420,7 @@
       reply.accept(CellReply.of(CellReply.Outcome.NOT_LEADING, "epoch " + election.epoch()));
       return;
     }
-    cell.get().handle(call, reply);
+    cell.get().handle(call, answer -> reply.accept(answer.decidedBy(configs.version())));
   }
 
   private void answer(VmProbe probe, CompletableFuture<PeerMessage> answer) {
--- a/masticspread-cell/src/test/java/org/masticspread/cell/lead/ConfigFollowerTest.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/lead/ConfigFollowerTest.java
@@ -13,12 +13,16 @@
 import org.masticspread.cell.testing.Jobs;
 import org.masticspread.cell.testing.VmCluster;
 import org.masticspread.model.cell.CellConfig;
+import org.masticspread.model.peer.CellCall.Action;
 
 /** Tests that each VM applies a configuration within the time promised to operators. */
 class ConfigFollowerTest {
   /** From the acknowledgement by the store until a configuration is in force on each VM. */
   private static final Duration APPLY_BOUND = Duration.ofSeconds(2);
 
+  /** From the effect of a configuration until no older one decides on any VM. */
+  private static final Duration DOWNGRADE_BOUND = Duration.ofMillis(250);
+
   private static final List<String> VMS = List.of("vm-1", "vm-2", "vm-3");
 
   private final VmCluster cluster = new VmCluster(config(1));
@@ -116,4 +120,30 @@
       assertThat(versions()).containsOnly(2L);
     }
   }
+
+  @Nested
+  class AnswerOfLeader {
+    /** More VMs than probe the leader often. */
+    private static final int VM_COUNT = 12;
+
+    @ParameterizedTest
+    @ValueSource(ints = {0, 200, 400, 600, 800})
+    void should_apply_the_version_of_an_answer_soon(int millisBefore) {
+      // GIVEN a VM that probes the leader once per second and does not reach the store
+      for (int i = 4; i <= VM_COUNT; i++) {
+        cluster.start("vm-" + i, 1.0);
+      }
+      cluster.cutFromStore("vm-3", true);
+      pass(Duration.ofSeconds(6).plusMillis(millisBefore));
+      cluster.configure(config(2));
+      pass(Duration.ofMillis(50));
+
+      // WHEN
+      cluster.call("vm-3", Action.SHOW, "a", null);
+      pass(DOWNGRADE_BOUND);
+
+      // THEN
+      assertThat(versions()).containsOnly(2L);
+    }
+  }
 }
--- a/masticspread-cell/src/test/java/org/masticspread/cell/testing/VmCluster.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/testing/VmCluster.java
@@ -184,7 +184,7 @@
                 }));
     Vm vm = new Vm(ports, new VmRecord(name, incarnation, name + ":1", strength, "dc"));
     created[0] = vm;
-    members.put(name, new Member(vm, new Gateway(ports, vm), incarnation, queues));
+    members.put(name, new Member(vm, new Gateway(vm), incarnation, queues));
     vm.start(newer -> {});
   }
 
--- a/masticspread-model/src/main/java/org/masticspread/model/peer/CellReply.java
+++ b/masticspread-model/src/main/java/org/masticspread/model/peer/CellReply.java
@@ -10,11 +10,41 @@
  * @param waiting the number of waiting jobs; 0 unless a count was requested
  * @param retryAfterMillis the time to wait before retrying a refused call; otherwise 0
  * @param detail a description, as a short sentence
+ * @param configVersion the version of the configuration by which the call was decided; 0 if unknown
  */
 public record CellReply(
-    Outcome outcome, JobState state, int waiting, int retryAfterMillis, String detail)
+    Outcome outcome,
+    JobState state,
+    int waiting,
+    int retryAfterMillis,
+    String detail,
+    long configVersion)
     implements PeerMessage {
 
+  /**
+   * Creates a reply without the version of the configuration.
+   *
+   * @param outcome the outcome of the call
+   * @param state the state of the job; null if there is none
+   * @param waiting the number of waiting jobs; 0 unless a count was requested
+   * @param retryAfterMillis the time to wait before retrying a refused call; otherwise 0
+   * @param detail a description, as a short sentence
+   */
+  public CellReply(
+      Outcome outcome, JobState state, int waiting, int retryAfterMillis, String detail) {
+    this(outcome, state, waiting, retryAfterMillis, detail, 0);
+  }
+
+  /**
+   * Returns a copy that names the configuration by which the call was decided.
+   *
+   * @param version the version of the configuration
+   * @return the copy
+   */
+  public CellReply decidedBy(long version) {
+    return new CellReply(outcome, state, waiting, retryAfterMillis, detail, version);
+  }
+
   /** The outcome of a call. */
   public enum Outcome {
     /** The job is stored and will run. */
