Fix calls on a dropped queue that a VM behind the leader lets pass

A VM that has not read yet that a route was dropped forwards calls on it, and the leader, which knows better, counted, showed and cancelled all the same; a new job got 429 with Retry-After, as if a later try could succeed.

Cause: the leader looked at the queue for new jobs only, and had no way to say that there is none.

Evidence: should_tell_that_the_queue_of_the_call_was_dropped failed for all four actions before.

--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Cell.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Cell.java
@@ -371,6 +371,21 @@
       ports.timers().after(CONFIG_POLL_INTERVAL, () -> handle(call, reply, polls + 1));
       return;
     }
+    if (call.configVersion() < config.version() && config.queue(call.queue()).isEmpty()) {
+      ports
+          .log()
+          .event(
+              "call-no-queue",
+              call.queue(),
+              "action",
+              call.action(),
+              "config",
+              config.version(),
+              "callerConfig",
+              call.configVersion());
+      reply.accept(CellReply.of(CellReply.Outcome.UNKNOWN_QUEUE, "the queue was dropped"));
+      return;
+    }
     boolean aboutJob = call.action() != CellCall.Action.COUNT;
     if (aboutJob && !endedJobsLoaded && jobs.find(call.job()).isEmpty()) {
       callsAwaitingEndedJobs.add(() -> handle(call, reply, polls));
--- a/masticspread-cell/src/main/java/org/masticspread/cell/gateway/Gateway.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/gateway/Gateway.java
@@ -135,7 +135,7 @@
         forwarded.maybeAccepted = true;
         ports.timers().after(LOCAL_RETRY_DELAY, () -> attempt(forwarded));
       }
-      case REFUSED -> {
+      case REFUSED, UNKNOWN_QUEUE -> {
         if (forwarded.mayHaveEffect()) {
           forwarded.complete(
               CellReply.of(Outcome.UNCERTAIN, "an earlier attempt may have been accepted"));
--- a/masticspread-cell/src/main/java/org/masticspread/cell/gateway/JobCountCache.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/gateway/JobCountCache.java
@@ -99,6 +99,11 @@
       waiters.forEach(waiter -> waiter.reply.accept(reply));
       return;
     }
+    if (answer instanceof CellReply reply && reply.outcome() == Outcome.UNKNOWN_QUEUE) {
+      counts.remove(call.queue());
+      cached.waiters.forEach(waiter -> waiter.reply.accept(reply));
+      return;
+    }
     answerStale(cached);
     if (!cached.waiters.isEmpty()) {
       ports.timers().after(RETRY_DELAY, () -> ask(call, cached));
--- a/masticspread-cell/src/test/java/org/masticspread/cell/engine/CellTest.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/engine/CellTest.java
@@ -10,6 +10,8 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.masticspread.cell.journal.Rows;
 import org.masticspread.cell.testing.CellFixture;
 import org.masticspread.cell.testing.FakeTable.CommitOutcome;
@@ -851,4 +853,26 @@
       assertThat(replies).extracting(CellReply::outcome).containsExactly(Outcome.SHOWN);
     }
   }
+
+  @Nested
+  class NewerConfigurationThanTheCaller {
+    @BeforeEach
+    void dropQueue() {
+      fixture.cell.configure(Jobs.config(2, Jobs.queue("other", 0, Optional.empty())));
+    }
+
+    @ParameterizedTest
+    @EnumSource(Action.class)
+    void should_tell_that_the_queue_of_the_call_was_dropped(Action action) {
+      // WHEN
+      List<CellReply> replies = new ArrayList<>();
+      JobOrder order = action == Action.SUBMIT ? job("a", 1, 500, SHORT, false) : null;
+      fixture.cell.handle(new CellCall(action, "checks", 1, "a", order), replies::add);
+      advance(100);
+
+      // THEN
+      assertThat(replies).extracting(CellReply::outcome).containsExactly(Outcome.UNKNOWN_QUEUE);
+      assertThat(fixture.startsOf("a.0.0.0")).isZero();
+    }
+  }
 }
--- a/masticspread-model/src/main/java/org/masticspread/model/peer/CellReply.java
+++ b/masticspread-model/src/main/java/org/masticspread/model/peer/CellReply.java
@@ -59,6 +59,8 @@
     COUNTED,
     /** No job of that id was accepted. */
     UNKNOWN_JOB,
+    /** The configuration has no such queue; nothing was done. */
+    UNKNOWN_QUEUE,
     /** This VM does not lead the cell; nothing was done. */
     NOT_LEADING,
     /** The call may or may not have taken effect. */
