Fix a new leader that starts by an older configuration than the former one

A VM whose poll hangs takes over and starts tasks by its own version, though the former leader had read a newer one and acted by it: on the old endpoint of a moved queue, until the poll ends.

Cause: the cell started once some configuration was there, of whatever age. Fix: a new leader asks the store at once and starts the cell only when its configuration was confirmed after the takeover, as with jobs and workers.

Evidence: should_not_lead_by_an_older_version_than_the_former_leader failed before.

--- a/masticspread-cell/src/main/java/org/masticspread/cell/lead/ConfigFollower.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/lead/ConfigFollower.java
@@ -116,6 +116,11 @@
     return Duration.ofMillis(ports.clock().millis() - confirmedMillis);
   }
 
+  /** Returns whether the configuration was certainly the newest at some time since then. */
+  boolean confirmedSince(long millis) {
+    return Math.max(table.confirmedMillis(), peerConfirmedMillis) >= millis;
+  }
+
   /** Asks the store for changes at once, in addition to following them. */
   void refresh() {
     table.refresh();
--- a/masticspread-cell/src/main/java/org/masticspread/cell/lead/Vm.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/lead/Vm.java
@@ -541,6 +541,7 @@
             () -> election.epoch() == term.epoch());
     cellLoader = Optional.of(loader);
     long loadStartMillis = ports.clock().millis();
+    configs.refresh();
     List<WorkerRows> earlyRows = new ArrayList<>();
     TableFollower workers =
         follower(
@@ -562,7 +563,8 @@
 
   /**
    * Starts the cell once jobs, workers and configuration are read. Before any worker is known, it
-   * would refuse each job.
+   * would refuse each job; by an earlier configuration, it could undo what the former leader did by
+   * a newer one.
    */
   private void startWhenReady(
       Term term,
@@ -573,7 +575,8 @@
     if (election.epoch() != term.epoch()) {
       return;
     }
-    if (configs.config().isEmpty() || workers.isEmpty()) {
+    boolean configRead = configs.config().isPresent() && configs.confirmedSince(loadStartMillis);
+    if (!configRead || workers.isEmpty()) {
       ports
           .timers()
           .after(
@@ -738,7 +741,6 @@
   private final class ElectionCallbacks implements LeaderElection.Callbacks {
     @Override
     public void lead(Term term) {
-      configs.refresh();
       load(term);
     }
 
--- a/masticspread-cell/src/test/java/org/masticspread/cell/lead/ConfigFollowerTest.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/lead/ConfigFollowerTest.java
@@ -146,4 +146,27 @@
       assertThat(versions()).containsOnly(2L);
     }
   }
+
+  @Nested
+  class NewLeader {
+    @Test
+    void should_not_lead_by_an_older_version_than_the_former_leader() {
+      // GIVEN
+      cluster.silencePolls("vm-1", "op");
+      cluster.silencePolls("vm-3", "op");
+      cluster.configure(config(2));
+      pass(Duration.ofMillis(50));
+      assertThat(versions()).containsExactly(1L, 2L, 1L);
+
+      // WHEN
+      cluster.kill("vm-2");
+      while (cluster.leaders().isEmpty()) {
+        pass(Duration.ofMillis(1));
+      }
+
+      // THEN
+      assertThat(cluster.leaders()).containsExactly("vm-1");
+      assertThat(cluster.vm("vm-1").config().map(CellConfig::version)).contains(2L);
+    }
+  }
 }
--- a/masticspread-cell/src/test/java/org/masticspread/cell/testing/VmCluster.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/testing/VmCluster.java
@@ -90,6 +90,9 @@
   /** The VMs whose open connections to the store went silent, until a call on one times out. */
   private final Set<String> silentToStore = new HashSet<>();
 
+  /** Tables whose polls get no answer, by VM, until a call of the VM times out. */
+  private final Map<String, String> silentPolls = new HashMap<>();
+
   private int silences;
   private long peersSilentUntilMillis;
   private VmLimits limits = VmLimits.NONE;
@@ -144,6 +147,11 @@
     peersSilentUntilMillis = time.millis() + PEER_SILENCE.toMillis();
   }
 
+  /** Lets the polls of a table by one VM get no answer until one times out. */
+  public void silencePolls(String name, String rowTable) {
+    silentPolls.put(name, rowTable);
+  }
+
   /** Starts or restarts a VM. */
   public void start(String name, double strength) {
     silentToStore.remove(name);
@@ -494,7 +502,12 @@
       return call(
           HTTP_REQUEST_BYTES,
           wait.plus(margin),
-          () -> table.follow(name, after, wait, margin),
+          () ->
+              table
+                  .follow(name, after, wait, margin)
+                  .flatMap(
+                      page ->
+                          name.equals(silentPolls.get(vm)) ? Single.never() : Single.just(page)),
           VmCluster::sizeOfPage);
     }
 
@@ -530,6 +543,7 @@
     private void expire(SingleEmitter<?> emitter) {
       if (!emitter.isDisposed()) {
         silentToStore.remove(vm);
+        silentPolls.remove(vm);
         emitter.tryOnError(new StoreReadException(false, "timeout", null));
       }
     }
