Fix reads of all rows without a pause while the history of a table is gone

What callers saw: nothing yet; by reading. While a store answers that the changes after a read are gone, each VM read all rows again and again without a delay, as fast as the store answers, from the reads that all VMs share.

Cause: only the first loss was thought of, where an immediate read is right. Fix: the first loss is answered at once, those that follow it after the retry delay of 150 ms. An early answer of the store without rows is no longer taken for a confirmation of the whole wait.

Evidence: should_not_read_all_rows_without_pause_while_the_history_stays_gone failed before.

--- a/masticspread-cell/src/main/java/org/masticspread/cell/lead/TableFollower.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/lead/TableFollower.java
@@ -54,6 +54,9 @@
   private boolean closed;
   private boolean storeLost;
 
+  /** Whether the changes after the last read of all rows were gone as well. */
+  private boolean historyLost;
+
   /** How long the store may hold the poll in flight; zero while rows are read. */
   private Duration holdInFlight = Duration.ZERO;
 
@@ -199,8 +202,11 @@
 
   private void onChanges(RowPage page, long sentMillis, Duration pollHold) {
     markReached();
-    // An answer without changes was held by the store for the whole time of the poll.
-    confirm(page.rows().isEmpty() ? sentMillis + pollHold.toMillis() : sentMillis);
+    historyLost = false;
+    // The store held an answer without changes for the whole time of the poll.
+    long heldUntilMillis = sentMillis + pollHold.toMillis();
+    boolean held = page.rows().isEmpty() && clock.millis() >= heldUntilMillis;
+    confirm(held ? heldUntilMillis : sentMillis);
     version = Math.max(version, page.version());
     List<TableRow> changed = page.rows().stream().filter(row -> row.part().equals(part)).toList();
     if (!changed.isEmpty()) {
@@ -225,6 +231,8 @@
     holdInFlight = Duration.ZERO;
     boolean historyGone = error instanceof StoreReadException read && read.historyGone();
     final boolean firstFailure = !storeLost;
+    final boolean firstLoss = historyGone && !historyLost;
+    historyLost |= historyGone;
     if (!storeLost) {
       storeLost = true;
       log.event("store-lost", table, "reason", error.getMessage(), "historyGone", historyGone);
@@ -236,7 +244,7 @@
       pollMargin = doubled.compareTo(MAX_POLL_MARGIN) > 0 ? MAX_POLL_MARGIN : doubled;
       return;
     }
-    timers.after(historyGone ? Duration.ZERO : RETRY_DELAY, this::readAll);
+    timers.after(firstLoss ? Duration.ZERO : RETRY_DELAY, this::readAll);
   }
 
   private void markReached() {
--- a/masticspread-cell/src/test/java/org/masticspread/cell/lead/TableFollowerTest.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/lead/TableFollowerTest.java
@@ -12,6 +12,7 @@
 import org.junit.jupiter.api.Test;
 import org.masticspread.cell.port.CommitResult;
 import org.masticspread.cell.port.RowPage;
+import org.masticspread.cell.port.StoreReadException;
 import org.masticspread.cell.port.TableCommit;
 import org.masticspread.cell.port.TableCommit.Put;
 import org.masticspread.cell.port.TableCommit.RowName;
@@ -118,6 +119,46 @@
     }
   }
 
+  /** The table of a store that has discarded its history and counts the reads of rows. */
+  private final class TableWithoutHistory implements TablePort {
+    private int reads;
+
+    @Override
+    public Single<CommitResult> commit(TableCommit commit) {
+      return table.commit(commit);
+    }
+
+    @Override
+    public Single<RowPage> read(String name, String part, String from, int limit) {
+      reads++;
+      return table.read(name, part, from, limit);
+    }
+
+    @Override
+    public Single<RowPage> follow(String name, long after, Duration wait, Duration margin) {
+      return Single.error(new StoreReadException(true, "gone", null));
+    }
+  }
+
+  @Nested
+  class HistoryGone {
+    /** One read for each retry delay, and the first ones. */
+    private static final int MAX_READS = 1000 / 150 + 2;
+
+    @Test
+    void should_not_read_all_rows_without_pause_while_the_history_stays_gone() {
+      // GIVEN
+      TableWithoutHistory store = new TableWithoutHistory();
+
+      // WHEN
+      follower(store, (rows, all) -> {}).start();
+      time.pass(Duration.ofSeconds(1));
+
+      // THEN
+      assertThat(store.reads).isLessThanOrEqualTo(MAX_READS);
+    }
+  }
+
   @Nested
   class FailingListener {
     @Test
