Fix a leader that learns late of workers that leave while its poll hangs

The leader's poll of the registry was held for 4 s as well, so on a silent connection a worker could be given tasks for longer than the 2 s for which it serves on after it has said that it leaves.

Fix: these polls are held for 700 ms; one leader sends them, so their number does not grow with the VMs.

--- a/masticspread-cell/src/main/java/org/masticspread/cell/lead/Vm.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/lead/Vm.java
@@ -73,6 +73,12 @@
   /** The interval for checking whether all that a cell needs to start has been read. */
   private static final Duration LOAD_POLL_INTERVAL = Duration.ofMillis(10);
 
+  /**
+   * How long the store may hold a poll of the registry: short, so that the leader notices a poll
+   * that hangs before a worker that leaves has gone.
+   */
+  private static final Duration REGISTRY_HOLD = Duration.ofMillis(700);
+
   private final VmPorts ports;
   private final PeerPort peers;
   private final Membership membership;
@@ -107,11 +113,14 @@
     this.handover = new Handover(ports, membership, election, configs::version);
     this.storeCheck = new StoreCheck(ports.store(), ports.timers());
     this.storeFailureDetector = new StoreFailureDetector(ports.clock());
-    this.vmFollower = follower(Rows.VM_TABLE, Rows.VM_PART, this::onVmRows);
-    this.leaderFollower = follower(Rows.LEADER_TABLE, Rows.PART, this::onLeaderRows);
+    this.vmFollower =
+        follower(Rows.VM_TABLE, Rows.VM_PART, TableFollower.LONG_HOLD, this::onVmRows);
+    this.leaderFollower =
+        follower(Rows.LEADER_TABLE, Rows.PART, TableFollower.LONG_HOLD, this::onLeaderRows);
   }
 
-  private TableFollower follower(String table, String part, TableFollower.Listener listener) {
+  private TableFollower follower(
+      String table, String part, Duration hold, TableFollower.Listener listener) {
     return new TableFollower(
         ports.store(),
         ports.timers(),
@@ -119,7 +128,7 @@
         ports.log(),
         table,
         part,
-        () -> TableFollower.LONG_HOLD,
+        () -> hold,
         listener);
   }
 
@@ -547,6 +556,7 @@
         follower(
             ports.workerRegistry().table(),
             ports.workerRegistry().part(),
+            REGISTRY_HOLD,
             (rows, all) -> {
               if (cell.isPresent()) {
                 applyWorkerRows(cell.get(), rows, all);
--- a/masticspread-cell/src/test/java/org/masticspread/cell/lead/VmTest.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/lead/VmTest.java
@@ -287,6 +287,25 @@
     }
   }
 
+  @Nested
+  class SilentConnections {
+    /** The time for which a worker that leaves serves on; no task may start on it afterwards. */
+    private static final int DRAIN_BOUND_MS = 2000;
+
+    @Test
+    void should_notice_in_time_that_a_worker_leaves_while_the_poll_of_the_registry_hangs() {
+      // GIVEN
+      cluster.silencePolls("vm-2", "servers");
+
+      // WHEN
+      cluster.unregister("w1");
+      pass(DRAIN_BOUND_MS);
+
+      // THEN
+      assertThat(cluster.vm("vm-2").cell().orElseThrow().usableWorkers()).isEqualTo(1);
+    }
+  }
+
   @Nested
   class RegistryEntryLapsed {
     private String task;
