Ask the store earlier where probes confirm the configuration more often

A VM that probes the leader four times a second now counts its configuration as unconfirmed after 0.55 s, one that probes once a second still after 1.3 s.

--- a/masticspread-cell/src/main/java/org/masticspread/cell/lead/ConfigFollower.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/lead/ConfigFollower.java
@@ -5,8 +5,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.BooleanSupplier;
-import java.util.function.Consumer;
 import org.masticspread.cell.port.TableRow;
 import org.masticspread.model.cell.CellConfig;
 import org.masticspread.model.id.VmId;
@@ -20,8 +18,7 @@
  * one. Confined to the VM's thread.
  *
  * <pre>{@code
- * ConfigFollower configs =
- *     new ConfigFollower(ports, election::leading, this::probeOthers, cell::configure);
+ * ConfigFollower configs = new ConfigFollower(ports, callbacks);
  * configs.start();
  * configs.config().flatMap(config -> config.match(host, path));
  * }</pre>
@@ -33,16 +30,17 @@
   private static final Duration AGE_CHECK_INTERVAL = Duration.ofMillis(100);
 
   /** How long the store may hold a poll of the leader, which confirms the other VMs' version. */
-  private static final Duration LEADER_HOLD = Duration.ofMillis(250);
+  private static final Duration LEADER_HOLD = Duration.ofMillis(200);
 
   /** How long the store may hold a poll of a VM whose version no other VM confirms. */
   private static final Duration UNCONFIRMED_HOLD = Duration.ofMillis(500);
 
   /**
-   * The age from which a VM asks the store itself: above the interval of the slowest probes of the
-   * leader, and early enough to open another connection and ask again within {@link #MAX_AGE}.
+   * How much older than the interval of its probes of the leader the configuration of a VM may be
+   * before it asks the store itself: more than the age that the leader itself has, and little
+   * enough to open another connection and ask again within {@link #MAX_AGE}.
    */
-  private static final Duration REFRESH_AGE = Duration.ofMillis(1300);
+  private static final Duration REFRESH_MARGIN = Duration.ofMillis(300);
 
   /**
    * How long to wait for the store before a configuration is read from a VM that has a newer one;
@@ -55,10 +53,26 @@
   /** The interval at which a VM whose configuration is not confirmed probes other VMs. */
   private static final Duration PROBE_INTERVAL = Duration.ofMillis(400);
 
+  /** Connects the follower to its VM. */
+  interface Callbacks {
+    /** Returns whether the VM leads the cell. */
+    boolean leading();
+
+    /** Returns the interval at which the VM probes the leader. */
+    Duration probeInterval();
+
+    /**
+     * Probes other VMs, because neither the store nor the leader has confirmed the configuration
+     * for a while. Their status is passed to {@link ConfigFollower#onStatus}.
+     */
+    void probeOthers();
+
+    /** Applies a newer configuration. */
+    void configure(CellConfig newer);
+  }
+
   private final VmPorts ports;
-  private final BooleanSupplier leading;
-  private final Runnable probeOthers;
-  private final Consumer<CellConfig> listener;
+  private final Callbacks callbacks;
   private final TableFollower table;
   private final Set<VmId> reading = new HashSet<>();
   private Optional<CellConfig> config = Optional.empty();
@@ -71,17 +85,11 @@
    * Creates a follower without a configuration.
    *
    * @param ports the ports of the VM
-   * @param leading returns whether this VM leads the cell
-   * @param probeOthers probes other VMs, because neither the store nor the leader has confirmed the
-   *     configuration for a while; their status is passed to {@link #onStatus}
-   * @param listener receives each newer configuration
+   * @param callbacks connects the follower to its VM
    */
-  ConfigFollower(
-      VmPorts ports, BooleanSupplier leading, Runnable probeOthers, Consumer<CellConfig> listener) {
+  ConfigFollower(VmPorts ports, Callbacks callbacks) {
     this.ports = ports;
-    this.leading = leading;
-    this.probeOthers = probeOthers;
-    this.listener = listener;
+    this.callbacks = callbacks;
     this.table =
         new TableFollower(
             ports.store(),
@@ -213,11 +221,15 @@
         newest.key(), new Payload(newest.value()), newest.version(), age().toMillis());
   }
 
+  private Duration refreshAge() {
+    return callbacks.probeInterval().plus(REFRESH_MARGIN);
+  }
+
   private Duration hold() {
-    if (leading.getAsBoolean()) {
+    if (callbacks.leading()) {
       return LEADER_HOLD;
     }
-    boolean confirmed = ports.clock().millis() - peerConfirmedMillis < REFRESH_AGE.toMillis();
+    boolean confirmed = ports.clock().millis() - peerConfirmedMillis < refreshAge().toMillis();
     return confirmed ? TableFollower.LONG_HOLD : UNCONFIRMED_HOLD;
   }
 
@@ -252,12 +264,12 @@
             newer.queues().size());
     config = Optional.of(newer);
     row = Optional.of(source);
-    listener.accept(newer);
+    callbacks.configure(newer);
   }
 
   /** Keeps the configuration confirmed; logs when it is too old, and when it no longer is. */
   private void checkAge() {
-    if (age().compareTo(REFRESH_AGE) >= 0) {
+    if (age().compareTo(refreshAge()) >= 0) {
       refresh();
       probePeriodically();
     }
@@ -279,7 +291,7 @@
     long now = ports.clock().millis();
     if (now - lastProbeMillis >= PROBE_INTERVAL.toMillis()) {
       lastProbeMillis = now;
-      probeOthers.run();
+      callbacks.probeOthers();
     }
   }
 }
--- a/masticspread-cell/src/main/java/org/masticspread/cell/lead/LeaderElection.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/lead/LeaderElection.java
@@ -256,7 +256,8 @@
     ports.timers().after(probeInterval(), this::probePeriodically);
   }
 
-  private Duration probeInterval() {
+  /** Returns the interval at which this VM probes the leader. */
+  Duration probeInterval() {
     boolean frequent =
         failureDetector.silentFor().compareTo(PROBE_INTERVAL) >= 0
             || membership.rank(membership.others()) < FREQUENT_PROBERS;
--- a/masticspread-cell/src/main/java/org/masticspread/cell/lead/Vm.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/lead/Vm.java
@@ -109,7 +109,7 @@
     this.membership = new Membership(self, ports.clock());
     this.startedMillis = ports.clock().millis();
     this.election = new LeaderElection(ports, membership, new ElectionCallbacks());
-    this.configs = new ConfigFollower(ports, election::leading, this::probeOthers, this::configure);
+    this.configs = new ConfigFollower(ports, new ConfigCallbacks());
     this.handover = new Handover(ports, membership, election, configs::version);
     this.storeCheck = new StoreCheck(ports.store(), ports.timers());
     this.storeFailureDetector = new StoreFailureDetector(ports.clock());
@@ -160,19 +160,6 @@
     return answer;
   }
 
-  /** Probes the VMs that were heard from last, and some of the others in turn. */
-  private void probeOthers() {
-    for (VmRecord other : membership.nextToProbe()) {
-      var unused =
-          ports
-              .peers()
-              .call(
-                  VmId.of(other.vm()),
-                  new VmProbe(false, false, election.epoch(), configs.version()),
-                  PROBE_TIMEOUT);
-    }
-  }
-
   /**
    * Registers the VM and starts to follow the configuration and the leader.
    *
@@ -534,11 +521,6 @@
     }
   }
 
-  private void configure(CellConfig newer) {
-    configListener.accept(newer);
-    cell.ifPresent(c -> c.configure(newer));
-  }
-
   private void load(Term term) {
     closeCell();
     CellLoader loader =
@@ -765,6 +747,37 @@
     }
   }
 
+  private final class ConfigCallbacks implements ConfigFollower.Callbacks {
+    @Override
+    public boolean leading() {
+      return election.leading();
+    }
+
+    @Override
+    public Duration probeInterval() {
+      return election.probeInterval();
+    }
+
+    @Override
+    public void probeOthers() {
+      for (VmRecord other : membership.nextToProbe()) {
+        var unused =
+            ports
+                .peers()
+                .call(
+                    VmId.of(other.vm()),
+                    new VmProbe(false, false, election.epoch(), configs.version()),
+                    PROBE_TIMEOUT);
+      }
+    }
+
+    @Override
+    public void configure(CellConfig newer) {
+      configListener.accept(newer);
+      cell.ifPresent(c -> c.configure(newer));
+    }
+  }
+
   private final class CommitListener implements Journal.Listener {
     @Override
     public void deposed() {
