--- a/masticspread-cell/src/test/java/org/masticspread/cell/engine/CellTest.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/engine/CellTest.java
@@ -20,6 +20,7 @@
 import org.masticspread.model.cell.CellConfig;
 import org.masticspread.model.cell.JobOrder;
 import org.masticspread.model.cell.JobState;
+import org.masticspread.model.cell.QueueRule;
 import org.masticspread.model.peer.CellCall;
 import org.masticspread.model.peer.CellCall.Action;
 import org.masticspread.model.peer.CellReply;
@@ -875,4 +876,59 @@
       assertThat(fixture.startsOf("a.0.0.0")).isZero();
     }
   }
+
+  @Nested
+  class QueueMovesWhileWorkWaits {
+    private void moveLayouts() {
+      fixture.workers.add("x1", "annex", "r3", 4000);
+      fixture.cell.register(fixture.workers.entries().get(3));
+      QueueRule layouts =
+          Jobs.queue(
+              "layouts",
+              "annex",
+              1,
+              Optional.of(
+                  new AdviceRule(
+                      Duration.ofMillis(10), Duration.ofMillis(1), Duration.ofSeconds(2))));
+      fixture.cell.configure(Jobs.config(2, layouts));
+    }
+
+    private List<String> workersOf(String task) {
+      return fixture.workers.starts().stream()
+          .filter(start -> start.contains(" " + task + " "))
+          .map(start -> start.split(" ")[0])
+          .toList();
+    }
+
+    @Test
+    void should_start_on_the_new_endpoint_after_a_ticket_of_the_old_one_arrives() {
+      // GIVEN a job whose tickets for workers of the old endpoint are on their way
+      fixture.workers.describe("a", new ResourceVector(500, 1024, 0), SHORT);
+      fixture.submit(Jobs.job("a", "layouts", Jobs.step(1, 500, SHORT, false)));
+      advance(14);
+
+      // WHEN
+      moveLayouts();
+      advance(1000);
+
+      // THEN
+      assertThat(workersOf("a.0.0.0")).containsExactly("x1");
+    }
+
+    @Test
+    void should_start_on_the_new_endpoint_after_a_slow_store_has_stored_the_job() {
+      // GIVEN
+      fixture.table.commitTime(Duration.ofMillis(2500));
+      fixture.workers.describe("a", new ResourceVector(500, 1024, 0), SHORT);
+      fixture.submit(Jobs.job("a", "layouts", Jobs.step(1, 500, SHORT, false)));
+      advance(100);
+
+      // WHEN
+      moveLayouts();
+      advance(4000);
+
+      // THEN
+      assertThat(workersOf("a.0.0.0")).doesNotContain("w1", "w2", "w3");
+    }
+  }
 }
