Check the age of the configuration when it is due, not every 100 ms

A follower that the leader confirms woke ten times a second for a comparison; it now wakes when its configuration would count as unconfirmed.

--- a/masticspread-cell/src/main/java/org/masticspread/cell/lead/ConfigFollower.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/lead/ConfigFollower.java
@@ -27,6 +27,7 @@
   /** The age from which the configuration may be older than the operator is promised. */
   private static final Duration MAX_AGE = Duration.ofSeconds(2);
 
+  /** The interval at which an unconfirmed configuration is checked. */
   private static final Duration AGE_CHECK_INTERVAL = Duration.ofMillis(100);
 
   /** How long the store may hold a poll of the leader, which confirms the other VMs' version. */
@@ -284,7 +285,9 @@
               "ageMs",
               age().toMillis());
     }
-    ports.timers().after(AGE_CHECK_INTERVAL, this::checkAge);
+    Duration confirmedFor = refreshAge().minus(age());
+    boolean soon = confirmedFor.compareTo(AGE_CHECK_INTERVAL) < 0;
+    ports.timers().after(soon ? AGE_CHECK_INTERVAL : confirmedFor, this::checkAge);
   }
 
   private void probePeriodically() {
