--- a/masticspread-cell/src/main/java/org/masticspread/cell/lead/Vm.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/lead/Vm.java
@@ -531,7 +531,7 @@
             ports.clock(),
             () -> election.epoch() == term.epoch());
     cellLoader = Optional.of(loader);
-    long loadStartMillis = ports.clock().millis();
+    final long loadStartMillis = ports.clock().millis();
     configs.refresh();
     List<WorkerRows> earlyRows = new ArrayList<>();
     TableFollower workers =
--- a/masticspread-cell/src/test/java/org/masticspread/cell/engine/CellTest.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/engine/CellTest.java
@@ -828,7 +828,7 @@
     @Test
     void should_accept_a_job_of_an_added_queue_once_its_version_is_read() {
       // GIVEN
-      List<CellReply> replies =
+      final List<CellReply> replies =
           submitByVersion(2, Jobs.job("a", "added", Jobs.step(1, 500, SHORT, false)));
       advance(400);
 
--- a/masticspread-cell/src/test/java/org/masticspread/cell/testing/VmCluster.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/testing/VmCluster.java
@@ -323,7 +323,7 @@
       String from, String incarnation, VmId to, PeerMessage message, Duration timeout) {
     CompletableFuture<PeerMessage> answer = new CompletableFuture<>();
     Member target = members.get(to.value());
-    boolean cut =
+    final boolean cut =
         cutFromPeers.contains(from)
             || cutFromPeers.contains(to.value())
             || cutLinks.contains(Set.of(from, to.value()))
