Fix soaks beside each other that take each other's addresses

Both runs used 127.0.0.11 to 13, where the port of the metrics is always the same.

Fix: the third number of the addresses follows from the process id.

--- a/masticspread-soak/src/main/java/org/masticspread/soak/Soak.java
+++ b/masticspread-soak/src/main/java/org/masticspread/soak/Soak.java
@@ -30,6 +30,8 @@
    */
   private static final int FAULT_STEPS = 25;
 
+  private static final int NETWORKS = 250;
+
   /** The configuration changes after this many steps, and up to {@link #MAX_CHANGE_STEPS} more. */
   private static final int MIN_CHANGE_STEPS = 10;
 
@@ -67,6 +69,8 @@
 
   /** Executes the run; returns the violations found, with the directory of the logs. */
   List<String> run() throws IOException, InterruptedException {
+    // Runs beside each other get addresses of their own, since the port of the metrics is fixed.
+    String network = "127.0." + ProcessHandle.current().pid() % NETWORKS + ".";
     Path directory = Files.createTempDirectory("soak-" + seed + "-");
     NioEventLoopGroup loops = new NioEventLoopGroup(2);
     try (StandInPlatform platform = StandInPlatform.start(6)) {
@@ -75,7 +79,7 @@
       for (int i = 1; i <= vmCount; i++) {
         FaultProxy proxy = new FaultProxy(loops, target);
         stores.add(proxy);
-        String ip = "127.0.0." + (10 + i);
+        String ip = network + (10 + i);
         processes.add(
             new VmSubprocess(
                 "vm-" + i, platform.settings("vm-" + i, ip, proxy.address()), directory));
