Fix a configuration that is never read from a store slower than a refresh waits

With answers of the store that take 0.5 s or more, a VM abandoned each poll before its answer, as its configuration counted as unconfirmed, and the refresh that it sent instead gave up after 0.4 s: no change was read any more.

Cause: one request had to be impatient, for silent connections, and patient, for a slow store. Fix: polls are patient and stay in flight; a refresh goes beside them, gives up soon at first, and later the slower the store is. Whichever answers first goes on; an older answer that comes later has nothing new. A refresh that finds the history gone reads all rows again.

Evidence: should_apply_a_change_when_each_answer_of_the_store_is_slow failed for 0.5 and 0.9 s before, should_read_all_rows_again_when_the_poll_hangs failed before.

--- a/masticspread-cell/src/main/java/org/masticspread/cell/lead/TableFollower.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/lead/TableFollower.java
@@ -20,10 +20,14 @@
   /** How long the store may hold a poll of a table whose changes are not urgent. */
   static final Duration LONG_HOLD = Duration.ofSeconds(4);
 
-  /** Added to the hold of a poll; doubled after each poll without an answer. */
-  private static final Duration MIN_POLL_MARGIN = Duration.ofMillis(400);
+  /** Added to the hold of a poll; a very slow store takes about this long for an answer. */
+  private static final Duration POLL_MARGIN = Duration.ofMillis(1200);
 
-  private static final Duration MAX_POLL_MARGIN = Duration.ofMillis(1200);
+  /**
+   * The first timeout of a refresh, which closes idle connections that went silent; it is doubled
+   * up to {@link #POLL_MARGIN} while the store is slower.
+   */
+  private static final Duration MIN_REFRESH_TIMEOUT = Duration.ofMillis(400);
 
   /** The delay between attempts while the store does not answer. */
   private static final Duration RETRY_DELAY = Duration.ofMillis(150);
@@ -57,15 +61,16 @@
   /** Whether the changes after the last read of all rows were gone as well. */
   private boolean historyLost;
 
-  /** How long the store may hold the poll in flight; zero while rows are read. */
-  private Duration holdInFlight = Duration.ZERO;
+  /** Whether a poll is in flight; not while rows are read or before a retry. */
+  private boolean polling;
 
   /** The number of the poll in flight; answers to earlier polls are ignored. */
   private int pollNumber;
 
+  private boolean refreshing;
+  private Duration refreshTimeout = MIN_REFRESH_TIMEOUT;
   private long version;
   private long confirmedMillis;
-  private Duration pollMargin = MIN_POLL_MARGIN;
 
   /**
    * Creates a follower.
@@ -120,13 +125,42 @@
   }
 
   /**
-   * Asks the store for changes at once and abandons the poll in flight, whose answer may never
-   * arrive. Does nothing while rows are read or such a request is in flight.
+   * Asks the store for changes at once, beside the poll in flight, whose answer may never arrive.
+   * Does nothing while rows are read or such a request is in flight.
    */
   public void refresh() {
-    if (!closed && !holdInFlight.isZero()) {
-      pollMargin = MIN_POLL_MARGIN;
-      follow(Duration.ZERO);
+    if (closed || !polling || refreshing) {
+      return;
+    }
+    refreshing = true;
+    long sentMillis = clock.millis();
+    var unused =
+        store
+            .follow(table, version, Duration.ZERO, refreshTimeout)
+            .subscribe(page -> onRefreshed(page, sentMillis), this::onRefreshFailed);
+  }
+
+  private void onRefreshed(RowPage page, long sentMillis) {
+    refreshing = false;
+    boolean slow = clock.millis() - sentMillis > MIN_REFRESH_TIMEOUT.toMillis();
+    refreshTimeout = slow ? POLL_MARGIN : MIN_REFRESH_TIMEOUT;
+    if (!closed && polling) {
+      // The poll in flight is abandoned: it may hang, and the next one continues from here.
+      onChanges(page, sentMillis);
+    }
+  }
+
+  private void onRefreshFailed(Throwable error) {
+    refreshing = false;
+    if (isHistoryGone(error) && polling) {
+      onError(error, true);
+      return;
+    }
+    boolean first = refreshTimeout.equals(MIN_REFRESH_TIMEOUT);
+    Duration doubled = refreshTimeout.multipliedBy(2);
+    refreshTimeout = doubled.compareTo(POLL_MARGIN) > 0 ? POLL_MARGIN : doubled;
+    if (first) {
+      refresh();
     }
   }
 
@@ -177,40 +211,43 @@
   }
 
   private void follow() {
-    follow(hold.get());
-  }
-
-  private void follow(Duration pollHold) {
     if (closed) {
       return;
     }
     int number = ++pollNumber;
-    holdInFlight = pollHold;
+    polling = true;
+    Duration pollHold = hold.get();
     long sentMillis = clock.millis();
     var unused =
         store
-            .follow(table, version, pollHold, pollMargin)
+            .follow(table, version, pollHold, POLL_MARGIN)
             .subscribe(
-                page -> ifCurrent(number, () -> onChanges(page, sentMillis, pollHold)),
+                page -> ifCurrent(number, () -> onPolled(page, sentMillis, pollHold)),
                 error -> ifCurrent(number, () -> onError(error, true)));
   }
 
   private void ifCurrent(int number, Runnable action) {
-    if (!closed && number == pollNumber) {
+    if (!closed && polling && number == pollNumber) {
       action.run();
     }
   }
 
-  private void onChanges(RowPage page, long sentMillis, Duration pollHold) {
-    markReached();
-    historyLost = false;
+  private void onPolled(RowPage page, long sentMillis, Duration pollHold) {
     // The store held an answer without changes for the whole time of the poll.
     long heldUntilMillis = sentMillis + pollHold.toMillis();
     boolean held = page.rows().isEmpty() && clock.millis() >= heldUntilMillis;
-    confirm(held ? heldUntilMillis : sentMillis);
+    onChanges(page, held ? heldUntilMillis : sentMillis);
+  }
+
+  private void onChanges(RowPage page, long asOfMillis) {
+    markReached();
+    historyLost = false;
+    confirm(asOfMillis);
+    // A refresh and a poll may overtake each other; the older answer has nothing new.
+    boolean newer = page.version() > version;
     version = Math.max(version, page.version());
     List<TableRow> changed = page.rows().stream().filter(row -> row.part().equals(part)).toList();
-    if (!changed.isEmpty()) {
+    if (newer && !changed.isEmpty()) {
       notifyListener(changed, false);
     }
     follow();
@@ -229,8 +266,8 @@
     if (closed) {
       return;
     }
-    holdInFlight = Duration.ZERO;
-    boolean historyGone = error instanceof StoreReadException read && read.historyGone();
+    polling = false;
+    boolean historyGone = isHistoryGone(error);
     final boolean firstFailure = !storeLost;
     final boolean firstLoss = historyGone && !historyLost;
     historyLost |= historyGone;
@@ -241,15 +278,16 @@
     if (following && !historyGone) {
       // A connection that went silent was closed at the timeout, and the next poll opens another.
       timers.after(firstFailure ? Duration.ZERO : RETRY_DELAY, this::follow);
-      Duration doubled = pollMargin.multipliedBy(2);
-      pollMargin = doubled.compareTo(MAX_POLL_MARGIN) > 0 ? MAX_POLL_MARGIN : doubled;
       return;
     }
     timers.after(firstLoss ? Duration.ZERO : RETRY_DELAY, this::readAll);
   }
 
+  private static boolean isHistoryGone(Throwable error) {
+    return error instanceof StoreReadException read && read.historyGone();
+  }
+
   private void markReached() {
-    pollMargin = MIN_POLL_MARGIN;
     if (storeLost) {
       storeLost = false;
       log.event("store-regained", table, "version", version);
--- a/masticspread-cell/src/main/java/org/masticspread/cell/lead/Vm.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/lead/Vm.java
@@ -77,7 +77,7 @@
    * How long the store may hold a poll of the registry: short, so that the leader notices a poll
    * that hangs before a worker that leaves has gone.
    */
-  private static final Duration REGISTRY_HOLD = Duration.ofMillis(700);
+  private static final Duration REGISTRY_HOLD = Duration.ofMillis(400);
 
   private final VmPorts ports;
   private final PeerPort peers;
--- a/masticspread-cell/src/test/java/org/masticspread/cell/lead/ConfigFollowerTest.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/lead/ConfigFollowerTest.java
@@ -68,6 +68,24 @@
     }
   }
 
+  @Nested
+  class SlowStore {
+    @ParameterizedTest
+    @ValueSource(ints = {200, 500, 900})
+    void should_apply_a_change_when_each_answer_of_the_store_is_slow(int delayMillis) {
+      // GIVEN
+      cluster.storeDelay(Duration.ofMillis(delayMillis));
+      pass(Duration.ofSeconds(10));
+
+      // WHEN
+      cluster.configure(config(2));
+      pass(APPLY_BOUND.plusMillis(delayMillis));
+
+      // THEN
+      assertThat(versions()).containsOnly(2L);
+    }
+  }
+
   @Nested
   class StoreTurnsVmsAway {
     @Test
--- a/masticspread-cell/src/test/java/org/masticspread/cell/lead/TableFollowerTest.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/lead/TableFollowerTest.java
@@ -122,6 +122,7 @@
   /** The table of a store that has discarded its history and counts the reads of rows. */
   private final class TableWithoutHistory implements TablePort {
     private int reads;
+    private boolean pollsHang;
 
     @Override
     public Single<CommitResult> commit(TableCommit commit) {
@@ -136,7 +137,8 @@
 
     @Override
     public Single<RowPage> follow(String name, long after, Duration wait, Duration margin) {
-      return Single.error(new StoreReadException(true, "gone", null));
+      boolean hangs = pollsHang && !wait.isZero();
+      return hangs ? Single.never() : Single.error(new StoreReadException(true, "gone", null));
     }
   }
 
@@ -159,6 +161,29 @@
     }
   }
 
+  @Nested
+  class RefreshWithoutHistory {
+    @Test
+    void should_read_all_rows_again_when_the_poll_hangs() {
+      // GIVEN
+      TableWithoutHistory store = new TableWithoutHistory();
+      store.pollsHang = true;
+      Set<String> known = new HashSet<>();
+      TableFollower follower =
+          follower(store, (rows, all) -> rows.forEach(row -> known.add(row.key())));
+      follower.start();
+      time.pass(Duration.ofMillis(100));
+      put(row(1));
+
+      // WHEN
+      follower.refresh();
+      time.pass(Duration.ofMillis(100));
+
+      // THEN
+      assertThat(known).contains(row(1).key());
+    }
+  }
+
   @Nested
   class FailingListener {
     @Test
--- a/masticspread-cell/src/test/java/org/masticspread/cell/testing/VmCluster.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/testing/VmCluster.java
@@ -93,6 +93,7 @@
   /** Tables whose polls get no answer, by VM, until a call of the VM times out. */
   private final Map<String, String> silentPolls = new HashMap<>();
 
+  private Duration storeDelay = Duration.ZERO;
   private int silences;
   private long peersSilentUntilMillis;
   private VmLimits limits = VmLimits.NONE;
@@ -147,6 +148,11 @@
     peersSilentUntilMillis = time.millis() + PEER_SILENCE.toMillis();
   }
 
+  /** Sets how much longer each answer of the store takes from now on. */
+  public void storeDelay(Duration delay) {
+    storeDelay = delay;
+  }
+
   /** Lets the polls of a table by one VM get no answer until one times out. */
   public void silencePolls(String name, String rowTable) {
     silentPolls.put(name, rowTable);
@@ -533,7 +539,7 @@
                     .subscribe(
                         answer -> {
                           if (silences == silencesBefore) {
-                            emitter.onSuccess(answer);
+                            time.after(storeDelay, () -> emitter.onSuccess(answer));
                           }
                         },
                         emitter::tryOnError);
