Refresh the leader's configuration by its own interval; test counts on dropped queues

By review: a leader that is not among the first candidates counted its own version as confirmed for as long as its probes would take, 1.3 s, though it polls every 0.2 s. A VM that is behind answers counts and looks on a dropped queue with UNKNOWN_QUEUE through the gateway, which is now tested. Two names made clearer.

--- a/masticspread-cell/src/main/java/org/masticspread/cell/lead/ConfigFollower.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/lead/ConfigFollower.java
@@ -37,9 +37,9 @@
   private static final Duration UNCONFIRMED_HOLD = Duration.ofMillis(500);
 
   /**
-   * How much older than the interval of its probes of the leader the configuration of a VM may be
-   * before it asks the store itself: more than the age that the leader itself has, and little
-   * enough to open another connection and ask again within {@link #MAX_AGE}.
+   * How much older than the interval at which it is normally confirmed a configuration may be
+   * before the VM asks the store: more than the age that the leader's has, and little enough to
+   * open another connection and ask again within {@link #MAX_AGE}.
    */
   private static final Duration REFRESH_MARGIN = Duration.ofMillis(300);
 
@@ -223,7 +223,8 @@
   }
 
   private Duration refreshAge() {
-    return callbacks.probeInterval().plus(REFRESH_MARGIN);
+    Duration confirmedEvery = callbacks.leading() ? LEADER_HOLD : callbacks.probeInterval();
+    return confirmedEvery.plus(REFRESH_MARGIN);
   }
 
   private Duration hold() {
--- a/masticspread-cell/src/main/java/org/masticspread/cell/lead/Membership.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/lead/Membership.java
@@ -17,7 +17,7 @@
   private static final Duration RECENTLY_HEARD = Duration.ofMillis(2200);
 
   /** Bounds the probes of a VM that looks for a newer configuration, whatever the fleet size. */
-  private static final int PROBED = 3;
+  private static final int MAX_PROBED = 3;
 
   /** Strongest first, since the leader does most of the work; ties are broken by name. */
   private static final Comparator<VmRecord> STRONGEST_FIRST =
@@ -80,9 +80,9 @@
     others.sort(
         Comparator.comparingLong(
             (VmRecord vm) -> -lastHeardMillis.getOrDefault(vm.vm(), Long.MIN_VALUE / 2)));
-    List<VmRecord> chosen = new ArrayList<>(others.subList(0, Math.min(PROBED, others.size())));
+    List<VmRecord> chosen = new ArrayList<>(others.subList(0, Math.min(MAX_PROBED, others.size())));
     List<VmRecord> rest = others.subList(chosen.size(), others.size());
-    for (int i = 0; i < Math.min(PROBED, rest.size()); i++) {
+    for (int i = 0; i < Math.min(MAX_PROBED, rest.size()); i++) {
       chosen.add(rest.get(Math.floorMod(probeTurn++, rest.size())));
     }
     return chosen;
--- a/masticspread-cell/src/test/java/org/masticspread/cell/lead/ConfigFollowerTest.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/lead/ConfigFollowerTest.java
@@ -9,11 +9,14 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.masticspread.cell.testing.Jobs;
 import org.masticspread.cell.testing.VmCluster;
 import org.masticspread.model.cell.CellConfig;
 import org.masticspread.model.peer.CellCall.Action;
+import org.masticspread.model.peer.CellReply;
+import org.masticspread.model.peer.CellReply.Outcome;
 
 /** Tests that each VM applies a configuration within the time promised to operators. */
 class ConfigFollowerTest {
@@ -165,6 +168,28 @@
     }
   }
 
+  @Nested
+  class DroppedQueue {
+    @ParameterizedTest
+    @EnumSource(
+        value = Action.class,
+        names = {"COUNT", "SHOW"})
+    void should_tell_callers_of_a_vm_that_is_behind_that_the_queue_is_unknown(Action action) {
+      // GIVEN
+      cluster.silencePolls("vm-3", "op");
+      cluster.configure(Jobs.config(2, Jobs.queue("other", 0, Optional.empty())));
+      pass(Duration.ofMillis(50));
+      assertThat(versions()).containsExactly(2L, 2L, 1L);
+
+      // WHEN
+      List<CellReply> replies = cluster.call("vm-3", action, "a", null);
+      pass(Duration.ofMillis(50));
+
+      // THEN
+      assertThat(replies).extracting(CellReply::outcome).containsExactly(Outcome.UNKNOWN_QUEUE);
+    }
+  }
+
   @Nested
   class NewLeader {
     @Test
--- a/masticspread-soak/src/main/java/org/masticspread/soak/ConfigChecker.java
+++ b/masticspread-soak/src/main/java/org/masticspread/soak/ConfigChecker.java
@@ -99,7 +99,7 @@
     Change due = changes.remove(0);
     for (int vm = 0; vm < processSoundNanos.length; vm++) {
       if (hasPathToStore(vm, due.ackNanos)) {
-        check(vm, due, newest);
+        ask(vm, due, newest);
       }
     }
   }
@@ -123,7 +123,8 @@
     return false;
   }
 
-  private void check(int vm, Change due, boolean newest) {
+  /** Asks a VM for the queue that a version added, unless a newer one may have dropped it. */
+  private void ask(int vm, Change due, boolean newest) {
     checks++;
     long ageMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - due.ackNanos);
     int added = callers.count(vm, StandInPlatform.versionPath(due.version));
