Fix a leader that can never commit because a peer told it first that it leads

Cause: a VM that had claimed the leadership heard from another VM that it leads, before the store had answered its claim (the answers of its store came 150 ms late). It began to lead by the version of the former leader's row, on which each commit of a leader depends; all its commits were refused, and the answer of the claim changed nothing any more. A VM used what it was told without the version that only the store knows: the class of this incident.

Fix: a VM that hears that it leads reads the leader row, and leads by what the store says.

--- a/masticspread-cell/src/main/java/org/masticspread/cell/lead/LeaderElection.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/lead/LeaderElection.java
@@ -573,6 +573,11 @@
     }
     LeaderRecord record = new LeaderRecord(status.leaderVm(), status.leaderLife(), status.epoch());
     ports.log().event("leader-heard", record.vm(), "epoch", record.epoch());
+    if (record.life().equals(membership.self().life())) {
+      // Only the store tells the version of the row, on which the commits of a leader depend.
+      readLeaderRow();
+      return;
+    }
     applyLeader(record, leaderVersion);
   }
 
--- a/masticspread-cell/src/test/java/org/masticspread/cell/lead/ConfigFollowerTest.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/lead/ConfigFollowerTest.java
@@ -77,7 +77,7 @@
     @ValueSource(ints = {200, 500, 900})
     void should_apply_a_change_when_each_answer_of_the_store_is_slow(int delayMillis) {
       // GIVEN
-      cluster.storeDelay(Duration.ofMillis(delayMillis));
+      VMS.forEach(name -> cluster.storeDelay(name, Duration.ofMillis(delayMillis)));
       pass(Duration.ofSeconds(10));
 
       // WHEN
--- a/masticspread-cell/src/test/java/org/masticspread/cell/lead/VmTest.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/lead/VmTest.java
@@ -227,6 +227,27 @@
     }
   }
 
+  @Nested
+  class LateAnswerToClaim {
+    @Test
+    void should_commit_jobs_when_another_vm_tells_of_the_new_leader_before_the_store_does() {
+      // GIVEN
+      cluster.storeDelay("vm-1", Duration.ofMillis(400));
+
+      // WHEN
+      cluster.vm("vm-2").stop(() -> {});
+      pass(3000);
+      cluster.storeDelay("vm-1", Duration.ZERO);
+      pass(3000);
+      CellReply reply = submitAndWait("vm-3", "a", 200);
+
+      // THEN
+      assertThat(cluster.leaders()).containsExactly("vm-1");
+      assertThat(reply.outcome()).isEqualTo(Outcome.ACCEPTED);
+      assertThat(state("vm-3", "a")).isEqualTo(JobState.SUCCEEDED);
+    }
+  }
+
   @Nested
   class StoreCut {
     @Test
--- a/masticspread-cell/src/test/java/org/masticspread/cell/testing/VmCluster.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/testing/VmCluster.java
@@ -93,7 +93,7 @@
   /** Tables whose polls get no answer, by VM, until a call of the VM times out. */
   private final Map<String, String> silentPolls = new HashMap<>();
 
-  private Duration storeDelay = Duration.ZERO;
+  private final Map<String, Duration> storeDelays = new HashMap<>();
   private int silences;
   private long peersSilentUntilMillis;
   private VmLimits limits = VmLimits.NONE;
@@ -148,9 +148,9 @@
     peersSilentUntilMillis = time.millis() + PEER_SILENCE.toMillis();
   }
 
-  /** Sets how much longer each answer of the store takes from now on. */
-  public void storeDelay(Duration delay) {
-    storeDelay = delay;
+  /** Sets how much longer each answer of the store to a VM takes from now on. */
+  public void storeDelay(String name, Duration delay) {
+    storeDelays.put(name, delay);
   }
 
   /** Lets the polls of a table by one VM get no answer until one times out. */
@@ -539,7 +539,8 @@
                     .subscribe(
                         answer -> {
                           if (silences == silencesBefore) {
-                            time.after(storeDelay, () -> emitter.onSuccess(answer));
+                            Duration delay = storeDelays.getOrDefault(vm, Duration.ZERO);
+                            time.after(delay, () -> emitter.onSuccess(answer));
                           }
                         },
                         emitter::tryOnError);
