--- /dev/null
+++ b/review/standin/LargeJob.java
@@ -0,0 +1,95 @@
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Submits one job whose running tasks save their progress, and small jobs beside it. Exits with 1 if
+ * cancels of accepted jobs are not acknowledged and ends are not taken note of, though nothing is
+ * disturbed.
+ */
+final class LargeJob {
+  private static final String HOST = "desk.example";
+  private static final String LARGE = "00000000000000f6";
+  private static final int EXECUTORS = 33;
+  private static final int LARGE_TASKS = 2300;
+  private static final int SMALLER_TASKS = 1200;
+  private static final int ACK_TIMEOUT_MS = 4000;
+
+  private LargeJob() {}
+
+  public static void main(String[] args) throws Exception {
+    boolean trouble = !"0".equals(System.getenv("TROUBLE"));
+    int code;
+    try (Rig rig = new Rig(Path.of(args[0]), EXECUTORS, 6)) {
+      code = run(rig, trouble ? LARGE_TASKS : SMALLER_TASKS);
+      rig.log("exit " + code);
+    } catch (Exception e) {
+      e.printStackTrace();
+      code = 2;
+    }
+    System.exit(code);
+  }
+
+  private static int run(Rig rig, int tasks) throws Exception {
+    rig.quietJob = LARGE;
+    rig.configure(3, 3000, Map.of("checks", "/checks/"));
+    if (!rig.startVms()) {
+      rig.log("the VMs did not get ready");
+      return 2;
+    }
+    Thread.sleep(4000);
+    Rig.Vm vm = rig.vms.get(0);
+    List<String> small = new ArrayList<>();
+    for (int i = 0; i < 5; i++) {
+      String id = String.format("%016x", 0xabc0 + i);
+      if (submit(rig, vm, id, 1, 60_000) == 200) {
+        small.add(id);
+      }
+    }
+    if (small.size() < 5 || submit(rig, vm, LARGE, tasks, 25_000) != 200) {
+      rig.log("a job was not accepted");
+      return 2;
+    }
+    rig.await(20_000, () -> rig.runs(LARGE).size() >= tasks);
+    rig.log("tasks of the large job started: " + rig.runs(LARGE).size());
+    // One small job ends while the others run; its end makes the leader write.
+    submit(rig, vm, "000000000000abd0", 1, 1000);
+    rig.await(30_000, () -> rig.runs(LARGE).stream().anyMatch(run -> run.endMillis >= 0));
+    rig.log("the first task of the large job has ended");
+    Thread.sleep(ACK_TIMEOUT_MS);
+    int unanswered = 0;
+    for (String id : small) {
+      int status = rig.call(vm, "DELETE", HOST, "/checks/" + id, "", ACK_TIMEOUT_MS).status();
+      unanswered += status == 200 || status == 410 ? 0 : 1;
+    }
+    submit(rig, vm, "000000000000abd1", 1, 1000);
+    Thread.sleep(10_000);
+    long ends = 0;
+    long unacknowledged = 0;
+    for (Rig.Executor executor : rig.executors.values()) {
+      ends += executor.ends();
+      unacknowledged += executor.unacknowledged();
+    }
+    rig.log("ends listed by executors: " + ends + ", not taken note of: " + unacknowledged);
+    rig.log("rows refused by the store as too large: " + rig.store.refusedAsTooLarge());
+    rig.call(vm, "GET", HOST, "/checks/" + LARGE, "", 3000);
+    boolean broken = false;
+    if (unanswered * 10 > small.size()) {
+      rig.log("Acks: " + unanswered + " of " + small.size() + " cancels were not acknowledged");
+      broken = true;
+    }
+    if (unacknowledged * 5 > ends) {
+      rig.log("Acks: " + unacknowledged + " of " + ends + " ends were not taken note of");
+      broken = true;
+    }
+    return broken ? 1 : 0;
+  }
+
+  private static int submit(Rig rig, Rig.Vm vm, String id, int tasks, int millis) {
+    String body =
+        "{\"spec\":\"ms=" + millis + "\",\"steps\":[{\"count\":" + tasks
+            + ",\"cpu\":150,\"mem_mb\":100,\"estimate_ms\":" + millis + ",\"checkpoints\":true}]}";
+    return rig.call(vm, "POST", HOST, "/checks/" + id, body, 3000).status();
+  }
+}
