--- a/review/standin/LargeJob.java
+++ b/review/standin/LargeJob.java
@@ -28,7 +28,7 @@
       e.printStackTrace();
       code = 2;
     }
-    System.exit(code);
+    System.exit(Rig.exitCode(code));
   }
 
   private static int run(Rig rig, int tasks) throws Exception {
--- a/review/standin/Rig.java
+++ b/review/standin/Rig.java
@@ -39,6 +39,7 @@
  */
 final class Rig implements AutoCloseable {
   static final ObjectMapper JSON = new ObjectMapper();
+  private static final int METRICS_PORT = 9464;
   static final int MAX_HOLD_MS = 10_000;
   static final int STOP_GRACE_MS = 400;
   static final int ROW_BYTES = 65_536;
@@ -49,6 +50,7 @@
 
   final long startNanos = System.nanoTime();
   private final String network;
+  private ServerSocket networkLock;
   final Store store;
   final Map<String, Executor> executors = new LinkedHashMap<>();
   final List<Vm> vms = new ArrayList<>();
@@ -69,7 +71,7 @@
       executor.register();
     }
     // The port of the metrics is fixed, so each VM has a loopback address of its own.
-    network = "127." + (20 + ProcessHandle.current().pid() % 200) + ".";
+    network = reserveNetwork();
     for (int i = 1; i <= vmCount; i++) {
       vms.add(new Vm(i, network + OWN_NET + "." + (10 + i)));
     }
@@ -90,6 +92,26 @@
     }
   }
 
+  /** Maps 0, 1 and 2 to codes that no failure of the Java launcher has; run.sh maps them back. */
+  static int exitCode(int code) {
+    return 40 + code;
+  }
+
+  /** Reserves a loopback network that no other rig on this machine uses. */
+  private String reserveNetwork() throws IOException {
+    for (int i = 0; i < 200; i++) {
+      String candidate = "127." + (20 + (int) (Math.random() * 200)) + ".";
+      try {
+        InetAddress address = InetAddress.getByName(candidate + OWN_NET + ".1");
+        networkLock = new ServerSocket(METRICS_PORT - 1, 1, address);
+        return candidate;
+      } catch (IOException e) {
+        // In use; try another one.
+      }
+    }
+    throw new IOException("no loopback network is free");
+  }
+
   long now() {
     return (System.nanoTime() - startNanos) / 1_000_000;
   }
@@ -156,6 +178,17 @@
     servers.forEach(server -> server.stop(0));
     timers.shutdownNow();
     record.close();
+    try {
+      networkLock.close();
+      try (var files = Files.list(directory)) {
+        for (Path file : files.toList()) {
+          Files.delete(file);
+        }
+      }
+      Files.delete(directory);
+    } catch (IOException e) {
+      e.printStackTrace();
+    }
   }
 
   // --- HTTP -------------------------------------------------------------------------------------
@@ -741,6 +774,10 @@
     boolean fails;
     String saved = "";
     long endMillis = -1;
+
+    /** When {@code acked_seq} reached the end; negative before that. */
+    long notedMillis = -1;
+
     String how = "";
   }
 
@@ -762,8 +799,9 @@
     final String address;
     final InetSocketAddress bound;
     private final String rack;
-    private final long born = System.currentTimeMillis();
-    private final long bornNanos = System.nanoTime();
+    private long born = System.currentTimeMillis();
+    private long bornNanos = System.nanoTime();
+    private volatile boolean down;
     private final Map<String, Run> running = new LinkedHashMap<>();
     private final Map<String, Long> highest = new HashMap<>();
     private final List<ArrayNode> finished = new ArrayList<>();
@@ -793,6 +831,41 @@
       store.write("servers", id, entry);
     }
 
+    /** Crashes: all runs, ends, counts and tokens are gone, and nothing is answered. */
+    void crash() {
+      synchronized (this) {
+        down = true;
+        for (Run run : running.values()) {
+          run.endMillis = now();
+          run.how = "crashed";
+        }
+        running.clear();
+        finished.clear();
+        highest.clear();
+        token = 0;
+        acked = 0;
+        lastEnd = 0;
+        leaseUntil = 0;
+        notifyAll();
+      }
+      log("executor " + id + " crashes");
+    }
+
+    /** Starts again under the same id and address, with a new birth and all counts anew. */
+    void restart() {
+      synchronized (this) {
+        born = System.currentTimeMillis();
+        bornNanos = System.nanoTime();
+        down = false;
+      }
+      register();
+      log("executor " + id + " starts again under its id");
+    }
+
+    synchronized long acknowledged() {
+      return acked;
+    }
+
     synchronized long unacknowledged() {
       return lastEnd - Math.min(acked, lastEnd);
     }
@@ -806,6 +879,9 @@
     }
 
     private synchronized void tick() {
+      if (down) {
+        return;
+      }
       long now = clock();
       if (now >= leaseUntil) {
         List.copyOf(running.values()).forEach(run -> end(run, "lapsed"));
@@ -834,6 +910,11 @@
     }
 
     private void handle(HttpExchange exchange, byte[] body) throws Exception {
+      long life = born;
+      if (down) {
+        exchange.close();
+        return;
+      }
       String path = exchange.getRequestURI().getPath();
       if (path.equals("/health")) {
         exchange.getResponseHeaders().set("Instance-Id", id);
@@ -866,6 +947,10 @@
             default -> status = 404;
           }
         }
+        if (down || born != life) {
+          exchange.close();
+          return;
+        }
       }
       reply(exchange, status, answer);
     }
@@ -917,11 +1002,31 @@
       }
     }
 
+    /** Forgets an end up to the highest acknowledged number; it counts as taken note of. */
+    private boolean forgotten(ArrayNode row) {
+      if (row.path(0).asLong() > acked) {
+        return false;
+      }
+      synchronized (history) {
+        for (Run run : history) {
+          boolean same = run.task.equals(row.path(1).asText()) && run.executor.equals(id);
+          if (same && run.number == row.path(2).asLong()) {
+            run.notedMillis = now();
+          }
+        }
+      }
+      return true;
+    }
+
     private void hold(JsonNode call, ObjectNode answer) throws InterruptedException {
+      long before = acked;
       acked = Math.max(acked, call.path("acked_seq").asLong());
-      finished.removeIf(row -> row.path(0).asLong() <= acked);
+      if (acked > lastEnd && acked > before) {
+        logRun(id, "executor " + id + ": acked_seq " + acked + ", though its last end is " + lastEnd);
+      }
+      finished.removeIf(this::forgotten);
       long until = now() + Math.min(2000, call.path("wait_ms").asLong());
-      while (finished.isEmpty() && now() < until) {
+      while (!down && finished.isEmpty() && now() < until) {
         wait(Math.max(1, until - now()));
       }
       ArrayNode runs = answer.putArray("running");
--- a/review/standin/StaleLeader.java
+++ b/review/standin/StaleLeader.java
@@ -25,7 +25,7 @@
       e.printStackTrace();
       code = 2;
     }
-    System.exit(code);
+    System.exit(Rig.exitCode(code));
   }
 
   private static int run(Rig rig, boolean trouble) throws Exception {
--- a/review/standin/TwoLeaders.java
+++ b/review/standin/TwoLeaders.java
@@ -23,7 +23,7 @@
       e.printStackTrace();
       code = 2;
     }
-    System.exit(code);
+    System.exit(Rig.exitCode(code));
   }
 
   private static int run(Rig rig, boolean trouble) throws Exception {
