--- a/review/standin/Rig.java
+++ b/review/standin/Rig.java
@@ -773,6 +773,10 @@
     long durationMillis;
     boolean fails;
     String saved = "";
+
+    /** The length of its checkpoints, a multiple of 16. */
+    int savedLength;
+
     long endMillis = -1;
 
     /** When {@code acked_seq} reached the end; negative before that. */
@@ -792,7 +796,8 @@
 
   /**
    * An executor of 16 cores. The spec of a job says what its tasks do: {@code ms=N} is their run
-   * time, {@code fail_first=K} makes the first K runs of a task fail.
+   * time, {@code fail_first=K} makes the first K runs of a task fail, {@code saved=N} is the length of
+   * their checkpoints.
    */
   final class Executor {
     final String id;
@@ -889,7 +894,8 @@
       for (Run run : List.copyOf(running.values())) {
         long age = now() - run.startMillis;
         if (age >= 500) {
-          run.saved = String.format("%016x", run.number * 1_000_003 + age / 500);
+          String digits = String.format("%016x", run.number * 1_000_003 + age / 500);
+          run.saved = digits.repeat(run.savedLength / digits.length());
         }
         if (age >= run.durationMillis) {
           end(run, run.fails ? "failed" : "done");
@@ -982,6 +988,7 @@
       run.executor = id;
       run.startMillis = now();
       run.durationMillis = Long.parseLong(spec.getOrDefault("ms", "500"));
+      run.savedLength = Integer.parseInt(spec.getOrDefault("saved", "16"));
       synchronized (history) {
         long earlier = history.stream().filter(other -> other.task.equals(task)).count();
         run.fails = earlier < Long.parseLong(spec.getOrDefault("fail_first", "0"));
