--- a/review/standin/Rig.java
+++ b/review/standin/Rig.java
@@ -910,7 +910,9 @@
       ArrayNode row = JSON.createArrayNode();
       row.add(++lastEnd).add(run.task).add(run.number).add(how);
       row.add(how.equals("done") ? "" : run.saved);
-      finished.add(row);
+      if (!forgotten(row)) {
+        finished.add(row);
+      }
       logRun(run.task, "executor " + id + ": " + run.task + " run " + run.number + " ended " + how);
       notifyAll();
     }
