--- a/review/standin/Rig.java
+++ b/review/standin/Rig.java
@@ -64,6 +64,8 @@
   Rig(Path recordFile, int executorCount, int vmCount) throws IOException {
     record = new PrintWriter(Files.newBufferedWriter(recordFile), true);
     directory = Files.createTempDirectory("review-");
+    // Also ends the VMs if the script's time limit ends this process.
+    Runtime.getRuntime().addShutdownHook(new Thread(() -> vms.forEach(Vm::kill)));
     store = new Store();
     for (int i = 1; i <= executorCount; i++) {
       Executor executor = new Executor("i-" + i, "r-" + (1 + (i - 1) / 8));
