--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Approvals.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Approvals.java
@@ -176,7 +176,7 @@
                     queue.priority(),
                     step.latestStartMillis,
                     holdsReservation,
-                    () -> !cell.closed() && !step.job.state.ended() && step.hasWaitingTasks()))
+                    () -> cell.leads() && !step.job.state.ended() && step.hasWaitingTasks()))
             .subscribe(
                 reply -> {
                   answered.run();
--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Cell.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Cell.java
@@ -108,6 +108,8 @@
   private final CellPorts ports;
   private final Runnable onFenced;
   private final Fleet fleet;
+  private final LeadershipProof leadershipProof;
+  private final InheritedLeases inheritedLeases;
   private final JobStore jobs;
   private final Launcher launcher;
   private final Scheduler scheduler;
@@ -143,8 +145,10 @@
     this.ports = ports;
     this.config = config;
     this.onFenced = onFenced;
-    this.fleet = new Fleet(ports.clock(), ports.log());
-    this.usedWorkers = new UsedWorkers(ports, fleet, this);
+    this.inheritedLeases = new InheritedLeases(ports);
+    this.fleet = new Fleet(ports.clock(), ports.log(), inheritedLeases);
+    this.leadershipProof = new LeadershipProof(ports, fleet);
+    this.usedWorkers = new UsedWorkers(ports, fleet, this, inheritedLeases);
     this.jobs = new JobStore(ports);
     this.launcher = new Launcher(ports, fleet, this);
     WorkerReportHandler reportHandler = new WorkerReportHandler(ports, jobs, fleet, this, launcher);
@@ -201,9 +205,38 @@
   /** Starts scheduling. */
   public void start() {
     usedWorkers.start();
+    inheritedLeases.start();
     tick();
   }
 
+  /**
+   * Returns whether it is known when the leases that former leaders granted expire.
+   *
+   * @return whether it is known
+   */
+  public boolean inheritedLeaseEndKnown() {
+    return inheritedLeases.endKnown();
+  }
+
+  /**
+   * Signals that no former leader acts any more.
+   *
+   * @param reason what showed it, for the log
+   */
+  public void formerLeadersEnded(String reason) {
+    inheritedLeases.formerLeadersEnded(reason);
+  }
+
+  /**
+   * Returns whether there is a recent proof that no other VM has taken the cell over. Without one
+   * the cell starts, renews and stops nothing.
+   *
+   * @return whether the cell may act
+   */
+  public boolean leads() {
+    return !closed && leadershipProof.holds();
+  }
+
   /** Closes the cell: nothing is started, renewed or written any more. */
   public void close() {
     closed = true;
@@ -287,8 +320,10 @@
     return (ports.term().epoch() - 1) * RUN_NUMBERS_PER_EPOCH;
   }
 
+  /** Returns the duration of a lease that is granted now. */
   long leaseMillis() {
-    return Math.min(LEASE.toMillis(), ports.limits().maxLease().toMillis());
+    long longest = Math.min(LEASE.toMillis(), ports.limits().maxLease().toMillis());
+    return Math.min(longest, leadershipProof.maxLeaseMillis());
   }
 
   /**
@@ -305,9 +340,7 @@
 
   /** Sends the first renewal to a worker; the answer reports what it runs. */
   private void startRenewing(Worker worker) {
-    // An earlier leader may have renewed the lease until just before it was deposed.
-    long lease = (long) (leaseMillis() * CLOCK_DRIFT_FACTOR) + 2 * LEASE_EXPIRY_MARGIN.toMillis();
-    worker.inheritedLeaseEndMillis = now() + (usedWorkers.mayBeUsed(worker) ? lease : 0);
+    worker.mayHoldInheritedLease = usedWorkers.mayBeUsed(worker);
     renew(worker);
   }
 
@@ -649,6 +682,7 @@
   /** Handles that a worker has seen a higher fencing token, which means that another VM leads. */
   void handleFenced(Worker worker) {
     ports.log().event("cell-fenced", worker.id(), "epoch", ports.term().epoch());
+    leadershipProof.fenced();
     onFenced.run();
   }
 
@@ -662,6 +696,8 @@
       return;
     }
     ticks++;
+    ports.journal().heartbeat();
+    inheritedLeases.update();
     ports.meter().timed("tick", this::checkWorkers);
     withdrawUnstoredJobs();
     ports.adviceDispatcher().dispatch();
@@ -712,7 +748,7 @@
             passDelay(),
             () -> {
               passScheduled = false;
-              if (!closed && !paused) {
+              if (leads() && !paused) {
                 runPass();
               }
             });
--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Fleet.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Fleet.java
@@ -48,10 +48,12 @@
 
   private final InstantSource clock;
   private final EventLog log;
+  private final InheritedLeases inheritedLeases;
 
-  Fleet(InstantSource clock, EventLog log) {
+  Fleet(InstantSource clock, EventLog log, InheritedLeases inheritedLeases) {
     this.clock = clock;
     this.log = log;
+    this.inheritedLeases = inheritedLeases;
   }
 
   Collection<Worker> all() {
@@ -66,7 +68,7 @@
   Optional<Worker> register(WorkerEntry entry) {
     Worker known = workers.get(entry.id());
     if (known == null) {
-      Worker worker = new Worker(entry, speeds);
+      Worker worker = new Worker(entry, speeds, inheritedLeases);
       workers.put(entry.id(), worker);
       log.event("worker-registered", entry.id(), "dc", entry.dataCentre(), "rack", entry.rack());
       return Optional.of(worker);
@@ -83,7 +85,7 @@
     WorkerEntry entry =
         new WorkerEntry(
             used.id(), "", used.address(), "", "", List.of(), used.capacity(), false, 0, "");
-    Worker worker = new Worker(entry, speeds);
+    Worker worker = new Worker(entry, speeds, inheritedLeases);
     worker.unregisteredSinceMillis = clock.millis();
     workers.put(used.id(), worker);
     log.event("worker-entry-missing", used.id(), "address", used.address());
@@ -178,8 +180,7 @@
   /** Returns whether a worker that has not answered yet may still run tasks of an earlier epoch. */
   boolean mayHaveUnreportedRuns() {
     long now = clock.millis();
-    return workers.values().stream()
-        .anyMatch(w -> !w.hasAnswered && now < w.inheritedLeaseEndMillis);
+    return workers.values().stream().anyMatch(w -> w.mayHaveUnreportedRuns(now));
   }
 
   /** Returns the speed-weighted capacity of an endpoint's workers that counts for admission. */
@@ -198,10 +199,7 @@
    * new leader yet are included, since none has right after a takeover.
    */
   private boolean countsAsCapacity(Worker worker) {
-    boolean expected =
-        !worker.hasAnswered
-            && !worker.unregistered()
-            && clock.millis() < worker.inheritedLeaseEndMillis;
+    boolean expected = !worker.unregistered() && worker.mayHaveUnreportedRuns(clock.millis());
     return expected || healthy(worker);
   }
 
--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Launcher.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Launcher.java
@@ -169,7 +169,8 @@
               "worker",
               run.worker.id());
     }
-    if (run.stopInFlight || run.stopConfirmedMillis >= 0) {
+    // While this VM cannot prove that it leads, the next report of the run leads here again.
+    if (run.stopInFlight || run.stopConfirmedMillis >= 0 || !cell.leads()) {
       return;
     }
     run.stopInFlight = true;
--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/LeaseRenewer.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/LeaseRenewer.java
@@ -60,14 +60,16 @@
       return;
     }
     worker.renewing = true;
+    final boolean leads = cell.leads();
     boolean longPoll =
-        !worker.renewImmediately
+        leads
+            && !worker.renewImmediately
             && worker.hasAnswered
             && worker.failedRenewals == 0
             && settled(worker);
     worker.renewImmediately = false;
     OptionalLong leaseEnd = OptionalLong.empty();
-    if (worker.hasAnswered && worker.failedRenewals == 0) {
+    if (leads && worker.hasAnswered && worker.failedRenewals == 0) {
       // A worker that does not answer is only polled: each further lease that may have reached it
       // would postpone the time at which its runs have certainly expired.
       long end = worker.leaseEnd(now(), cell.leaseMillis());
@@ -79,7 +81,7 @@
         new Renewal(
             leaseEnd,
             ports.term().epoch(),
-            worker.acknowledgedEnd,
+            leads ? worker.acknowledgedEnd : 0,
             longPoll ? LONG_POLL_TIMEOUT : Duration.ZERO);
     var unused =
         ports
@@ -117,7 +119,8 @@
     if (first || regained) {
       cell.requestPass();
     }
-    if (worker.renewImmediately || first || settled(worker)) {
+    boolean useful = worker.renewImmediately || first || settled(worker);
+    if (useful && cell.leads()) {
       renew(worker);
     } else {
       // The worker would answer immediately, in a busy loop.
@@ -151,11 +154,13 @@
     }
     worker.failedRenewals++;
     if (outcome == Outcome.OTHER_LIFE) {
+      worker.replaced = true;
       handleReplacement(worker);
     }
     if (worker.unregistered()
         && now() - worker.unregisteredSinceMillis > DROP_AFTER.toMillis()
         && worker.requestedListedAddress.isEmpty()
+        && worker.listedAddress.isEmpty()
         && worker.runs.isEmpty()) {
       ports.log().event("worker-dropped", worker.id());
       fleet.remove(worker);
--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/UsedWorkers.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/UsedWorkers.java
@@ -19,13 +19,15 @@
   private final CellPorts ports;
   private final Fleet fleet;
   private final Cell cell;
+  private final InheritedLeases inheritedLeases;
   private boolean started;
   private long lastListingNumber;
 
-  UsedWorkers(CellPorts ports, Fleet fleet, Cell cell) {
+  UsedWorkers(CellPorts ports, Fleet fleet, Cell cell, InheritedLeases inheritedLeases) {
     this.ports = ports;
     this.fleet = fleet;
     this.cell = cell;
+    this.inheritedLeases = inheritedLeases;
   }
 
   /** Restores a listed worker; returns whether it is not in the registry. */
@@ -40,6 +42,7 @@
             worker -> {
               worker.requestedListedAddress = used.address();
               worker.listedAddress = used.address();
+              inheritedLeases.add(worker);
             });
     return missing;
   }
@@ -80,17 +83,25 @@
 
   /** Removes an unregistered worker from the list, once the ends of all its runs are durable. */
   void unlistIfUnused(Worker worker) {
-    boolean mayRun = !worker.hasAnswered && ports.clock().millis() < worker.inheritedLeaseEndMillis;
+    boolean mayRun = worker.mayHaveUnreportedRuns(ports.clock().millis());
     boolean idle = worker.runs.isEmpty() && !mayRun;
     boolean endsDurable = worker.seenEnd == worker.acknowledgedEnd;
     boolean listed = !worker.requestedListedAddress.isEmpty();
     if (!worker.unregistered() || !idle || !endsDurable || !listed) {
       return;
     }
-    worker.listingNumber = 0;
+    long listingNumber = ++lastListingNumber;
+    worker.listingNumber = listingNumber;
     worker.requestedListedAddress = "";
-    worker.listedAddress = "";
     writeRow(worker.id());
+    ports
+        .journal()
+        .whenDurable(
+            () -> {
+              if (worker.listingNumber == listingNumber) {
+                worker.listedAddress = "";
+              }
+            });
     ports.log().event("worker-unlisted", worker.id(), "epoch", ports.term().epoch());
   }
 
--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Worker.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Worker.java
@@ -37,6 +37,12 @@
   /** The incarnation that answered last; 0 before the first answer. */
   long incarnation;
 
+  /** Since when it answers as this incarnation, on the cell's clock. */
+  long incarnationSinceMillis;
+
+  /** Whether another incarnation answers at its address. */
+  boolean replaced;
+
   /** Whether it has answered in this epoch, and so refuses orders of earlier ones. */
   boolean hasAnswered;
 
@@ -92,12 +98,20 @@
   /** The number of the latest listing, so that only that one takes effect. */
   long listingNumber;
 
-  /** When runs of earlier epochs have certainly expired, if it has not answered in this epoch. */
-  long inheritedLeaseEndMillis;
+  private final InheritedLeases inheritedLeases;
+
+  /** Whether it may run tasks of earlier epochs, if it has not answered in this epoch. */
+  boolean mayHoldInheritedLease;
 
-  Worker(WorkerEntry entry, SpeedEstimator speeds) {
+  Worker(WorkerEntry entry, SpeedEstimator speeds, InheritedLeases inheritedLeases) {
     this.entry = entry;
     this.speeds = speeds;
+    this.inheritedLeases = inheritedLeases;
+  }
+
+  /** Returns whether it has not answered yet and may still run tasks of earlier epochs. */
+  boolean mayHaveUnreportedRuns(long nowMillis) {
+    return !hasAnswered && mayHoldInheritedLease && nowMillis < inheritedLeases.endMillis();
   }
 
   /** Returns the forecast made in a pass, or null if the pass has made none. */
@@ -150,7 +164,7 @@
   /** Returns when, on the cell's clock, its lease has certainly expired. */
   long leaseExpiryMillis() {
     if (!hasAnswered) {
-      return inheritedLeaseEndMillis;
+      return mayHoldInheritedLease ? inheritedLeases.endMillis() : Long.MIN_VALUE;
     }
     double left = Math.max(0, leaseUntilMillis - clockMillis) * Cell.CLOCK_DRIFT_FACTOR;
     return clockReadMillis + (long) left + Cell.LEASE_EXPIRY_MARGIN.toMillis();
--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/WorkerReportHandler.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/WorkerReportHandler.java
@@ -44,6 +44,9 @@
     }
     if (!worker.hasAnswered) {
       worker.hasAnswered = true;
+      if (worker.mayHoldInheritedLease) {
+        worker.leaseUntilMillis = view.clockMillis() + LeadershipProof.LEASE_HORIZON.toMillis();
+      }
       ports
           .log()
           .event(
@@ -86,6 +89,7 @@
       worker.leaseUntilMillis = 0;
     }
     worker.incarnation = born;
+    worker.incarnationSinceMillis = now();
   }
 
   private void handleEnds(Worker worker, WorkerView view) {
--- a/masticspread-cell/src/main/java/org/masticspread/cell/journal/Journal.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/journal/Journal.java
@@ -79,7 +79,9 @@
   private boolean inFlight;
   private boolean awaitingAnswer;
   private long sentMillis;
-  private long lastCommitMillis;
+  private long attemptMillis;
+  private long confirmedMillis;
+  private long lastCommitMillis = Long.MIN_VALUE / 2;
   private boolean scheduled;
   private boolean closed;
   private long failingSinceMillis = -1;
@@ -108,7 +110,7 @@
     this.term = term;
     this.listener = listener;
     this.headVersion = term.version();
-    this.lastCommitMillis = clock.millis();
+    this.confirmedMillis = term.claimedMillis();
   }
 
   /**
@@ -206,6 +208,16 @@
     return inFlight ? Duration.ofMillis(clock.millis() - sentMillis) : Duration.ZERO;
   }
 
+  /**
+   * Returns the newest moment at which no other VM had taken the cell over, as the store confirmed:
+   * when the last successful attempt to commit was sent.
+   *
+   * @return the moment on the journal's clock, in ms
+   */
+  public long confirmedMillis() {
+    return confirmedMillis;
+  }
+
   /**
    * Tells whether all rows are written.
    *
@@ -235,7 +247,8 @@
 
   /**
    * Commits only the head row if nothing was committed recently, so that a VM that reaches no other
-   * VM sees in the store that the cell has a leader.
+   * VM sees in the store that the cell has a leader, and the leader that no other VM has taken
+   * over.
    */
   public void heartbeat() {
     boolean quiet = clock.millis() - lastCommitMillis >= HEARTBEAT_INTERVAL.toMillis();
@@ -296,6 +309,7 @@
       return;
     }
     awaitingAnswer = true;
+    attemptMillis = clock.millis();
     List<Expected> expected =
         List.of(new Expected(Rows.LEADER, term.version()), new Expected(Rows.HEAD, headVersion));
     TableCommit commit = new TableCommit(Rows.PART, expected, batch.puts, batch.removals);
@@ -317,6 +331,7 @@
 
   private void onCommitted(long version) {
     headVersion = version;
+    confirmedMillis = attemptMillis;
     durableSequence = batch.sequence;
     inFlight = false;
     batch = null;
--- a/masticspread-cell/src/main/java/org/masticspread/cell/lead/LeaderElection.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/lead/LeaderElection.java
@@ -104,6 +104,8 @@
   private long leaderVersion;
   private boolean leaderRowRead;
   private long wonEpoch;
+  private long claimedEpoch;
+  private long claimedMillis;
   private final LeaderFailureDetector failureDetector;
   private final StoreCheck storeCheck;
   private final ArrayDeque<Long> unansweredProbes = new ArrayDeque<>();
@@ -245,7 +247,7 @@
     }
     wonEpoch = epoch;
     ports.log().event("leader-won", membership.self().vm(), "epoch", epoch, "version", version);
-    callbacks.lead(new Term(epoch, version));
+    callbacks.lead(new Term(epoch, version, claimedMillis));
   }
 
   private void probePeriodically() {
@@ -541,6 +543,10 @@
     claiming = true;
     LeaderRecord candidate =
         new LeaderRecord(membership.self().vm(), membership.self().life(), epoch() + 1);
+    if (candidate.epoch() != claimedEpoch) {
+      claimedEpoch = candidate.epoch();
+      claimedMillis = ports.clock().millis();
+    }
     ports.log().event("leader-claim", candidate.vm(), "epoch", candidate.epoch(), "reason", reason);
     TableCommit commit =
         new TableCommit(
--- a/masticspread-cell/src/main/java/org/masticspread/cell/lead/Vm.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/lead/Vm.java
@@ -3,8 +3,10 @@
 import io.reactivex.rxjava3.core.Single;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.function.Consumer;
@@ -73,6 +75,9 @@
   /** The interval for checking whether all that a cell needs to start has been read. */
   private static final Duration LOAD_POLL_INTERVAL = Duration.ofMillis(10);
 
+  /** The interval for asking VMs whether they follow, while too few workers answer. */
+  private static final Duration FOLLOWER_POLL_INTERVAL = Duration.ofMillis(250);
+
   /**
    * How long the store may hold a poll of the registry: short, so that the leader notices a poll
    * that hangs before a worker that leaves has gone.
@@ -189,7 +194,6 @@
     if (!journal.equals(Optional.of(watched))) {
       return;
     }
-    watched.heartbeat();
     if (watched.stalledFor().compareTo(LATE_COMMIT_AGE) >= 0) {
       checkStore(watched);
     }
@@ -604,6 +608,9 @@
     stored.workers().forEach(newCell::restoreWorkers);
     cell = Optional.of(newCell);
     newCell.start();
+    ports
+        .timers()
+        .after(FOLLOWER_POLL_INTERVAL, () -> awaitFollowers(newCell, term, new HashSet<>()));
     loader.loadEnded(
         (id, end) -> newCell.restoreEnded(id, end.state()),
         () -> endedJobsLoaded(newCell, loadStartMillis));
@@ -620,6 +627,37 @@
             ports.clock().millis() - loadStartMillis);
   }
 
+  /**
+   * Asks all other VMs until each has answered that it follows this term, unless the workers show
+   * earlier that no former leader acts any more.
+   */
+  private void awaitFollowers(Cell target, Term term, Set<String> following) {
+    if (!cell.equals(Optional.of(target)) || target.inheritedLeaseEndKnown()) {
+      return;
+    }
+    List<VmRecord> others = membership.others();
+    if (others.stream().allMatch(other -> following.contains(other.vm()))) {
+      target.formerLeadersEnded("all VMs follow");
+      return;
+    }
+    for (VmRecord other : others) {
+      var unused =
+          ports
+              .peers()
+              .call(
+                  VmId.of(other.vm()),
+                  new VmProbe(false, false, term.epoch(), configs.version()),
+                  PROBE_TIMEOUT)
+              .thenAccept(
+                  answer -> {
+                    if (answer instanceof VmStatus status && status.epoch() >= term.epoch()) {
+                      ports.timers().after(Duration.ZERO, () -> following.add(other.vm()));
+                    }
+                  });
+    }
+    ports.timers().after(FOLLOWER_POLL_INTERVAL, () -> awaitFollowers(target, term, following));
+  }
+
   private void endedJobsLoaded(Cell target, long loadStartMillis) {
     ports
         .log()
--- a/masticspread-cell/src/test/java/org/masticspread/cell/journal/JournalTest.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/journal/JournalTest.java
@@ -44,7 +44,7 @@
                         new Put(Rows.HEAD, Rows.encode(new HeadRecord(epoch, 0)))),
                     List.of()))
             .version();
-    return new Term(epoch, version);
+    return new Term(epoch, version, time.millis());
   }
 
   private Journal journal(Term term) {
--- a/masticspread-cell/src/test/java/org/masticspread/cell/lead/NeedlessHandoverTest.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/lead/NeedlessHandoverTest.java
@@ -198,6 +198,7 @@
       cluster.cutFromStore("vm-2", true);
       submitLoad();
       cluster.cutFromStore("vm-2", false);
+      cluster.time.pass(Duration.ofSeconds(6));
       cluster.kill("vm-1");
       submitLoad();
       assertThat(cluster.leaders()).containsExactly("vm-2");
--- a/masticspread-cell/src/test/java/org/masticspread/cell/testing/CellFixture.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/testing/CellFixture.java
@@ -68,6 +68,9 @@
   /** Whether {@link #events} is recorded; long runs disable it. */
   public boolean recordEvents = true;
 
+  /** How far the wall clock is ahead of the monotonic one. */
+  public Duration timeOfDayAhead = Duration.ZERO;
+
   /** Workers that are missing from the registry when a new leader starts. */
   public final Set<String> unregistered = new HashSet<>();
 
@@ -136,7 +139,7 @@
                 new Put(Rows.HEAD, Rows.encode(new HeadRecord(epoch, 0)))),
             List.of());
     long version = table.apply(claim).version();
-    Term term = new Term(epoch, version);
+    Term term = new Term(epoch, version, time.millis());
     EventLog log = (event, id, fields) -> recordEvent(event, id, fields);
     journal =
         new Journal(
@@ -165,7 +168,7 @@
                 dispatcherFactory.create(advisor, vms, time),
                 time,
                 time,
-                time,
+                () -> time.instant().plus(timeOfDayAhead),
                 log,
                 metrics,
                 LIMITS,
--- a/masticspread-cell/src/test/java/org/masticspread/cell/testing/FakeWorkers.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/testing/FakeWorkers.java
@@ -70,6 +70,11 @@
 
     public long incarnation = 1;
 
+    /** Speed of its clock since {@link #clockSetMillis}; at 0.98, it is 2 % slow. */
+    double clockRate = 1;
+
+    long clockSetMillis;
+
     /** Speed; at 1, tasks take the described run time. */
     public double speed = 1;
 
@@ -254,7 +259,8 @@
             time.after(TIMEOUT, () -> emitter.onSuccess(OrderResult.of(Outcome.UNKNOWN)));
           } else {
             time.after(
-                LATENCY, () -> emitter.onSuccess(new OrderResult(outcome(state, order), clock())));
+                LATENCY,
+                () -> emitter.onSuccess(new OrderResult(outcome(state, order), clock(state))));
           }
         });
   }
@@ -271,7 +277,7 @@
 
   private void begin(State state, Start order) {
     boolean outdated = state.highestRun.getOrDefault(order.task(), 0L) >= order.run();
-    boolean late = order.leaseUntilMillis() < time.millis();
+    boolean late = order.leaseUntilMillis() < clockMillis(state);
     if (order.token() < state.token || outdated || late) {
       return;
     }
@@ -350,14 +356,14 @@
   }
 
   private void scheduleLeaseExpiry(State state) {
-    long wait = Math.max(1, state.leaseUntil - time.millis());
+    long wait = Math.max(1, (long) ((state.leaseUntil - clockMillis(state)) / state.clockRate));
     time.after(
         Duration.ofMillis(wait),
         () -> {
           if (state.running.isEmpty()) {
             return;
           }
-          if (time.millis() < state.leaseUntil) {
+          if (clockMillis(state) < state.leaseUntil) {
             scheduleLeaseExpiry(state);
             return;
           }
@@ -434,7 +440,7 @@
                 if (current != null && current.run <= run) {
                   time.after(state.stopDelay, () -> finishStop(state, current));
                 }
-                emitter.onSuccess(new OrderResult(Outcome.DONE, clock()));
+                emitter.onSuccess(new OrderResult(Outcome.DONE, clock(state)));
               });
         });
   }
@@ -448,7 +454,7 @@
   @Override
   public Single<OrderResult> throttle(
       WorkerEntry worker, String task, long run, int percent, long token) {
-    return Single.just(new OrderResult(Outcome.DONE, clock()));
+    return Single.just(new OrderResult(Outcome.DONE, clock(workers.get(worker.id()))));
   }
 
   @Override
@@ -514,7 +520,7 @@
             .map(run -> new Running(run.task, run.run, "", percent(run), 0))
             .toList();
     WorkerView view =
-        new WorkerView(time.millis(), state.incarnation, running, List.copyOf(state.ended));
+        new WorkerView(clockMillis(state), state.incarnation, running, List.copyOf(state.ended));
     return new RenewResult(Outcome.DONE, Optional.of(view));
   }
 
@@ -526,7 +532,19 @@
     return (int) Math.min(99, (time.millis() - run.startedMillis) * 100 / duration);
   }
 
-  private OptionalLong clock() {
-    return OptionalLong.of(time.millis());
+  private OptionalLong clock(State state) {
+    return OptionalLong.of(clockMillis(state));
+  }
+
+  private long clockMillis(State state) {
+    long since = time.millis() - state.clockSetMillis;
+    return state.clockSetMillis + (long) (since * state.clockRate);
+  }
+
+  /** Lets the clock of a worker run at another speed from now on. */
+  public void clockRate(String id, double rate) {
+    State state = workers.get(id);
+    state.clockRate = rate;
+    state.clockSetMillis = time.millis();
   }
 }
--- a/masticspread-cell/src/test/java/org/masticspread/cell/testing/VmCluster.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/testing/VmCluster.java
@@ -54,6 +54,9 @@
   /** How long calls on silent connections between VMs get no answer: three heartbeat intervals. */
   private static final Duration PEER_SILENCE = Duration.ofSeconds(3);
 
+  /** How long a call to a worker that is not reached gets no answer. */
+  private static final Duration WORKER_TIMEOUT = Duration.ofMillis(500);
+
   /** The timeout of calls to the store that are answered at once. */
   private static final Duration STORE_TIMEOUT = Duration.ofSeconds(1);
 
@@ -85,6 +88,10 @@
   private final Set<String> cutFromStore = new HashSet<>();
   private final Set<String> cutFromPeers = new HashSet<>();
   private final Set<Set<String>> cutLinks = new HashSet<>();
+
+  /** The VMs and workers that do not reach each other, as pairs of their names. */
+  private final Set<List<String>> cutFromWorkers = new HashSet<>();
+
   private final Set<String> unregistered = new HashSet<>();
 
   /** The VMs whose open connections to the store went silent, until a call on one times out. */
@@ -169,7 +176,7 @@
     VmPorts ports =
         new VmPorts(
             new Store(name, incarnation, queues),
-            new Workers(queues),
+            new Workers(name, queues),
             (step, ids, timeout) -> advisor.ask(name, step, ids, timeout),
             (to, message, timeout) -> callPeer(name, incarnation, to, message, timeout),
             new VmPorts.Source<>("servers", ExternalRows.PART, row -> entry(row.key())),
@@ -265,6 +272,11 @@
     addOrRemove(cutLinks, Set.of(one, other), cut);
   }
 
+  /** Cuts the link between a VM and a worker, or reconnects them. */
+  public void cutFromWorker(String name, String worker, boolean cut) {
+    addOrRemove(cutFromWorkers, List.of(name, worker), cut);
+  }
+
   private static <T> void addOrRemove(Set<T> set, T element, boolean add) {
     if (add) {
       set.add(element);
@@ -388,26 +400,51 @@
 
   /** The workers as one VM reaches them. */
   private final class Workers implements WorkerPort {
+    private final String vm;
     private final VmLimits.Queues queues;
 
-    Workers(VmLimits.Queues queues) {
+    Workers(String vm, VmLimits.Queues queues) {
+      this.vm = vm;
       this.queues = queues;
     }
 
+    /** Calls a worker; a call or an answer that meets a cut link is lost. */
+    private <T> Single<T> overLink(WorkerEntry worker, T noAnswer, Supplier<Single<T>> call) {
+      List<String> link = List.of(vm, worker.id());
+      Single<T> lost =
+          Single.create(emitter -> time.after(WORKER_TIMEOUT, () -> emitter.onSuccess(noAnswer)));
+      if (cutFromWorkers.contains(link)) {
+        return lost;
+      }
+      return call.get()
+          .flatMap(answer -> cutFromWorkers.contains(link) ? lost : Single.just(answer));
+    }
+
     @Override
     public Single<OrderResult> start(WorkerEntry worker, Start order) {
       long bytes = HTTP_REQUEST_BYTES + RUN_BYTES + order.payload().length();
-      return callOver(
-          queues, bytes, () -> workers.start(worker, order), result -> HTTP_RESPONSE_BYTES);
+      return overLink(
+          worker,
+          OrderResult.of(Outcome.UNKNOWN),
+          () ->
+              callOver(
+                  queues,
+                  bytes,
+                  () -> workers.start(worker, order),
+                  result -> HTTP_RESPONSE_BYTES));
     }
 
     @Override
     public Single<OrderResult> stop(WorkerEntry worker, String task, long run, long token) {
-      return callOver(
-          queues,
-          HTTP_REQUEST_BYTES,
-          () -> workers.stop(worker, task, run, token),
-          result -> HTTP_RESPONSE_BYTES);
+      return overLink(
+          worker,
+          OrderResult.of(Outcome.UNKNOWN),
+          () ->
+              callOver(
+                  queues,
+                  HTTP_REQUEST_BYTES,
+                  () -> workers.stop(worker, task, run, token),
+                  result -> HTTP_RESPONSE_BYTES));
     }
 
     @Override
@@ -418,20 +455,25 @@
 
     @Override
     public Single<RenewResult> renew(WorkerEntry worker, Renewal renewal) {
-      return callOver(
-          queues,
-          HTTP_REQUEST_BYTES,
-          () -> workers.renew(worker, renewal),
-          result ->
-              result
-                  .view()
-                  .map(
-                      v ->
-                          HTTP_RESPONSE_BYTES + RUN_BYTES * (v.running().size() + v.ended().size()))
-                  .orElse(0));
+      return overLink(
+          worker,
+          new RenewResult(Outcome.UNKNOWN, Optional.empty()),
+          () ->
+              callOver(
+                  queues,
+                  HTTP_REQUEST_BYTES,
+                  () -> workers.renew(worker, renewal),
+                  VmCluster::sizeOfView));
     }
   }
 
+  private static int sizeOfView(WorkerPort.RenewResult result) {
+    return result
+        .view()
+        .map(v -> HTTP_RESPONSE_BYTES + RUN_BYTES * (v.running().size() + v.ended().size()))
+        .orElse(0);
+  }
+
   /** Sends a request over a VM's link and receives its response. */
   private <T> Single<T> callOver(
       VmLimits.Queues queues, long bytes, Supplier<Single<T>> call, ToIntFunction<T> sizeOfAnswer) {
@@ -538,7 +580,7 @@
                 callOver(queues, bytes, request, sizeOfAnswer)
                     .subscribe(
                         answer -> {
-                          if (silences == silencesBefore) {
+                          if (silences == silencesBefore && reachable()) {
                             Duration delay = storeDelays.getOrDefault(vm, Duration.ZERO);
                             time.after(delay, () -> emitter.onSuccess(answer));
                           }
