Fix accepted jobs that stand still or fail when their queue is dropped (LOST)

Scheduler.runPass passed over jobs whose queue is not there, and WorkerReportHandler.recordFailure took one attempt for such a queue. A new leader had nothing else to look at.

Fix: QueueRules keeps what the last rule of a queue says about its accepted jobs, and stores it in table `queues`: one row for each queue, in or before the commit of the first job, rewritten when endpoint, attempts, advice, priority or objective change, deleted when no open job needs it. While the configuration has the queue, its rule applies, also if it changed meanwhile. Rows of earlier versions load as before; a job without a known rule waits and is never failed for it. Calls about a dropped queue get 404 as before.

--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Cell.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Cell.java
@@ -10,6 +10,7 @@
 import java.util.function.Consumer;
 import org.masticspread.cell.journal.JobRecord;
 import org.masticspread.cell.journal.ProgressRecord;
+import org.masticspread.cell.journal.QueueRecord;
 import org.masticspread.cell.journal.UsedWorkersRecord;
 import org.masticspread.cell.policy.Admission;
 import org.masticspread.cell.policy.LoadShedder;
@@ -116,8 +117,8 @@
   private final LeaseRenewer leaseRenewer;
   private final Backlog backlog;
   private final UsedWorkers usedWorkers;
+  private final QueueRules queueRules;
   private final LoadShedder loadShedder = new LoadShedder();
-  private CellConfig config;
   private boolean closed;
   private boolean paused;
   private boolean passScheduled;
@@ -143,7 +144,7 @@
    */
   public Cell(CellPorts ports, CellConfig config, Runnable onFenced) {
     this.ports = ports;
-    this.config = config;
+    this.queueRules = new QueueRules(ports, config);
     this.onFenced = onFenced;
     this.inheritedLeases = new InheritedLeases(ports);
     this.fleet = new Fleet(ports.clock(), ports.log(), inheritedLeases);
@@ -177,6 +178,15 @@
     jobs.restoreEnded(id, state);
   }
 
+  /**
+   * Restores the rule of a queue that earlier leaders stored. To be called before {@link #start}.
+   *
+   * @param record the stored rule
+   */
+  public void restoreQueue(QueueRecord record) {
+    queueRules.restore(record);
+  }
+
   /**
    * Restores workers that earlier leaders may have used. To be called before {@link #start} and
    * after the registry has been read.
@@ -204,6 +214,7 @@
 
   /** Starts scheduling. */
   public void start() {
+    queueRules.update(jobs.open());
     usedWorkers.start();
     inheritedLeases.start();
     tick();
@@ -275,8 +286,8 @@
    * @param newer the configuration
    */
   public void configure(CellConfig newer) {
-    if (newer.version() > config.version()) {
-      config = newer;
+    if (newer.version() > config().version()) {
+      queueRules.configure(newer);
       requestPass();
     }
   }
@@ -309,11 +320,16 @@
   }
 
   long configVersion() {
-    return config.version();
+    return config().version();
+  }
+
+  private CellConfig config() {
+    return queueRules.config();
   }
 
+  /** Returns the rule of a job's queue, which may have left the configuration. */
   Optional<QueueRule> queue(Job job) {
-    return config.queue(job.order.queue());
+    return queueRules.find(job.order.queue());
   }
 
   long runNumberBase() {
@@ -404,7 +420,7 @@
       ports.timers().after(CONFIG_POLL_INTERVAL, () -> handle(call, reply, polls + 1));
       return;
     }
-    if (call.configVersion() < config.version() && config.queue(call.queue()).isEmpty()) {
+    if (call.configVersion() < config().version() && config().queue(call.queue()).isEmpty()) {
       ports
           .log()
           .event(
@@ -413,7 +429,7 @@
               "action",
               call.action(),
               "config",
-              config.version(),
+              config().version(),
               "callerConfig",
               call.configVersion());
       reply.accept(CellReply.of(CellReply.Outcome.UNKNOWN_QUEUE, "the queue was dropped"));
@@ -439,7 +455,7 @@
   /** Returns whether the sender of a new job chose its queue by a newer configuration. */
   private boolean needsNewerConfig(CellCall call) {
     return call.action() == CellCall.Action.SUBMIT
-        && call.configVersion() > config.version()
+        && call.configVersion() > config().version()
         && jobs.find(call.job()).isEmpty()
         && jobs.ended(call.job()).isEmpty();
   }
@@ -451,7 +467,7 @@
     }
     Optional<Job> known = jobs.find(order.id());
     if (known.isEmpty()) {
-      Optional<QueueRule> queue = config.queue(order.queue());
+      Optional<QueueRule> queue = config().queue(order.queue());
       if (queue.isEmpty()) {
         refuse(order, reply, Duration.ofSeconds(1), "the queue does not exist");
         return;
@@ -464,6 +480,7 @@
       if (!admit(order, queue.get(), reply)) {
         return;
       }
+      queueRules.store(queue.get());
       Job job = jobs.accept(order);
       backlog.addAccepted(order, queue.get());
       ports
@@ -537,7 +554,7 @@
               "queue",
               order.queue(),
               "config",
-              config.version(),
+              config().version(),
               "expectedMs",
               decision.expected().toMillis(),
               "objectiveMs",
@@ -587,7 +604,7 @@
             "queue",
             order.queue(),
             "config",
-            config.version(),
+            config().version(),
             "reason",
             reason,
             "retryAfterMs",
@@ -708,6 +725,7 @@
     }
     if (ticks % 50 == 0) {
       jobs.removeExpired();
+      queueRules.update(jobs.open());
     }
     requestPass();
     ports.timers().after(TICK_INTERVAL, this::tick);
--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/WorkerReportHandler.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/WorkerReportHandler.java
@@ -214,7 +214,9 @@
       step.failedGangRuns.add(end.run());
     }
     int failures = Math.max(task.failedRuns.size(), step.failedGangRuns.size());
-    int maxFailures = cell.queue(step.job).map(queue -> queue.mostFailures()).orElse(1);
+    // Without the rule of its queue, it is not known how often a task may fail.
+    int maxFailures =
+        cell.queue(step.job).map(queue -> queue.mostFailures()).orElse(Integer.MAX_VALUE);
     if (failures >= maxFailures) {
       ports.log().event("job-failed", step.job.id(), "task", task.name, "failures", failures);
       cell.endEarly(step.job, JobState.FAILED);
--- a/masticspread-cell/src/main/java/org/masticspread/cell/journal/Rows.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/journal/Rows.java
@@ -43,6 +43,9 @@
   /** Holds the workers on which a leader may have started tasks, in a few rows. */
   public static final String USED_WORKER_TABLE = "used-workers";
 
+  /** Holds the rules of the queues that have accepted jobs. */
+  public static final String QUEUE_TABLE = "queues";
+
   /** The row that names the leader. */
   public static final RowName LEADER = new RowName(LEADER_TABLE, "leader");
 
--- a/masticspread-cell/src/main/java/org/masticspread/cell/lead/CellLoader.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/lead/CellLoader.java
@@ -13,6 +13,7 @@
 import org.masticspread.cell.journal.EndedRecord;
 import org.masticspread.cell.journal.JobRecord;
 import org.masticspread.cell.journal.ProgressRecord;
+import org.masticspread.cell.journal.QueueRecord;
 import org.masticspread.cell.journal.Rows;
 import org.masticspread.cell.journal.UsedWorkersRecord;
 import org.masticspread.cell.log.EventLog;
@@ -73,8 +74,10 @@
    *
    * @param jobs the jobs that have not ended
    * @param workers the workers that they may have used
+   * @param queues the rules of the queues of these jobs
    */
-  record StoredState(List<StoredJob> jobs, List<UsedWorkersRecord> workers) {}
+  record StoredState(
+      List<StoredJob> jobs, List<UsedWorkersRecord> workers, List<QueueRecord> queues) {}
 
   /** Returns the number of rows read so far. */
   long rowsRead() {
@@ -86,11 +89,12 @@
     Map<String, ProgressRecord> progress = new HashMap<>();
     List<JobRecord> jobs = new ArrayList<>();
     List<UsedWorkersRecord> workers = new ArrayList<>();
-    int[] pending = {3};
+    List<QueueRecord> queues = new ArrayList<>();
+    int[] pending = {4};
     Runnable done =
         () -> {
           if (--pending[0] == 0) {
-            loaded.accept(new StoredState(join(jobs, progress), workers));
+            loaded.accept(new StoredState(join(jobs, progress), workers, queues));
           }
         };
     readAll(
@@ -102,6 +106,7 @@
         Rows.USED_WORKER_TABLE,
         row -> decode(UsedWorkersRecord.class, row).ifPresent(workers::add),
         done);
+    readAll(Rows.QUEUE_TABLE, row -> decode(QueueRecord.class, row).ifPresent(queues::add), done);
   }
 
   /** Loads the final states of ended jobs. Does not run the action once they are not needed. */
--- a/masticspread-cell/src/main/java/org/masticspread/cell/lead/Vm.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/lead/Vm.java
@@ -600,6 +600,7 @@
                 ports.meter()),
             configs.config().get(),
             election::onFenced);
+    stored.queues().forEach(newCell::restoreQueue);
     stored.jobs().forEach(job -> newCell.restore(job.record(), job.progress()));
     journal = Optional.of(newJournal);
     storeFailureDetector = new StoreFailureDetector(ports.clock());
--- a/masticspread-cell/src/test/java/org/masticspread/cell/lead/VmTest.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/lead/VmTest.java
@@ -248,6 +248,34 @@
     }
   }
 
+  @Nested
+  class QueueDropped {
+    /**
+     * Guards against accepted jobs that a new leader leaves alone as it does not know their queue.
+     */
+    @Test
+    void should_run_the_later_steps_of_accepted_jobs_after_a_failover() {
+      // GIVEN
+      cluster.workers.describe("a", new ResourceVector(500, 1024, 0), Duration.ofSeconds(1));
+      JobOrder chain =
+          Jobs.job(
+              "a",
+              Jobs.step(1, 500, Duration.ofSeconds(1), false),
+              Jobs.step(1, 500, Duration.ofSeconds(1), false, List.of(0)));
+      cluster.call("vm-1", Action.SUBMIT, "a", chain);
+      pass(200);
+
+      // WHEN
+      cluster.configure(Jobs.config(2, Jobs.queue("other", 0, Optional.empty())));
+      pass(500);
+      cluster.kill("vm-2");
+      pass(8000);
+
+      // THEN
+      assertThat(cluster.workers.succeeded()).containsExactly("a.0.0.0", "a.0.1.0");
+    }
+  }
+
   @Nested
   class StoreCut {
     @Test
--- a/masticspread-cell/src/test/java/org/masticspread/cell/testing/CellFixture.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/testing/CellFixture.java
@@ -19,6 +19,7 @@
 import org.masticspread.cell.journal.Journal;
 import org.masticspread.cell.journal.LeaderRecord;
 import org.masticspread.cell.journal.ProgressRecord;
+import org.masticspread.cell.journal.QueueRecord;
 import org.masticspread.cell.journal.Rows;
 import org.masticspread.cell.journal.Term;
 import org.masticspread.cell.journal.UsedWorkersRecord;
@@ -54,7 +55,10 @@
   public final FakeWorkers workers = new FakeWorkers(time);
   public final List<String> events = new ArrayList<>();
   public final MetricRegistry metrics = new MetricRegistry();
-  private final CellConfig config;
+
+  /** The configuration with which the next leader starts. */
+  public CellConfig config;
+
   private final AdviceDispatcher.AdvisorClient advisor;
   private final DispatcherFactory dispatcherFactory;
   private final List<String> vms;
@@ -175,6 +179,7 @@
                 new LoadMeter(metrics, System::nanoTime)),
             config,
             () -> fenced = true);
+    restoreQueues();
     restoreJobs();
     for (WorkerEntry entry : workers.entries()) {
       if (!unregistered.contains(entry.id())) {
@@ -189,6 +194,16 @@
     return this;
   }
 
+  private void restoreQueues() {
+    for (TableRow row : table.rowsOf(Rows.QUEUE_TABLE)) {
+      try {
+        cell.restoreQueue(Rows.decode(QueueRecord.class, row.value()));
+      } catch (InvalidFieldException e) {
+        throw new AssertionError(e);
+      }
+    }
+  }
+
   private void restoreWorkers() {
     for (TableRow row : table.rowsOf(Rows.USED_WORKER_TABLE)) {
       try {
--- a/masticspread-cell/src/test/java/org/masticspread/cell/testing/FakeTable.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/testing/FakeTable.java
@@ -90,6 +90,11 @@
     return rows.values().stream().filter(row -> row.table().equals(tableName)).toList();
   }
 
+  /** Deletes all rows of a table, as if they had never been written. */
+  public void deleteAll(String tableName) {
+    rows.values().removeIf(row -> row.table().equals(tableName));
+  }
+
   /** Counts the transactions that wrote a row. */
   public long writesOf(RowName name) {
     Predicate<TableCommit> writes =
