Fix a stored job with times out of range that keeps every leader from loading

What was seen (review): a timed job with an interval of -9e18 ms was stored, ended the leader's tick and kept every later leader from loading; an estimate of 9e18 ms got no answer.

Cause: Recurrence.due throws where the sum of the times is out of range, at each tick and at each load of the cell.

Fix: due times are bounded by 1970 and the year 9999, so stored jobs of any age load and the others run.

--- a/masticspread-model/src/main/java/org/masticspread/model/cell/Recurrence.java
+++ b/masticspread-model/src/main/java/org/masticspread/model/cell/Recurrence.java
@@ -1,5 +1,6 @@
 package org.masticspread.model.cell;
 
+import java.time.DateTimeException;
 import java.time.Duration;
 import java.time.Instant;
 
@@ -11,6 +12,8 @@
  * @param interval the interval between two occurrences
  */
 public record Recurrence(int occurrences, Instant first, Duration interval) {
+  private static final Instant LATEST = Instant.parse("9999-12-31T00:00:00Z");
+
   /** The schedule of an untimed job. */
   public static final Recurrence ONCE = new Recurrence(0, Instant.EPOCH, Duration.ZERO);
 
@@ -36,9 +39,14 @@
    * Returns when an occurrence is due.
    *
    * @param occurrence the number of the occurrence, from 0
-   * @return the due time; the epoch for an untimed job
+   * @return the due time, from 1970 to the year 9999; the epoch for an untimed job
    */
   public Instant due(int occurrence) {
-    return first.plus(interval.multipliedBy(occurrence));
+    try {
+      Instant due = first.plus(interval.multipliedBy(occurrence));
+      return due.isBefore(Instant.EPOCH) ? Instant.EPOCH : due.isAfter(LATEST) ? LATEST : due;
+    } catch (ArithmeticException | DateTimeException e) {
+      return interval.isNegative() ? Instant.EPOCH : LATEST;
+    }
   }
 }
