Fix one row that fails and keeps the rows beside it from being handled

What operators of systems like this saw: machines that read a list with one odd entry ended again and again, or stopped following it.

Here, by the tests: if the decoding of one registry entry, or what the cell does with it, threw an exception, the entries after it in the page were never seen, and a new leader did not start its cell at all; a job row without an order had the same effect. A worker whose entry turned unreadable went on getting tasks, since only a read of the whole list dropped it.

Fix: each row is handled by itself, with a line in the log for one that fails. An entry that is unreadable names no worker, also as a change; what runs there is renewed as after any deregistration. Records of the cell check that no field is missing, so such rows count as unreadable. The tick of a cell is scheduled before its work, so that one that fails is not the last.

--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Cell.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Cell.java
@@ -712,6 +712,8 @@
     if (closed) {
       return;
     }
+    // Scheduled first, so that a tick that fails is not the last one.
+    ports.timers().after(TICK_INTERVAL, this::tick);
     ticks++;
     ports.journal().heartbeat();
     inheritedLeases.update();
@@ -728,7 +730,6 @@
       queueRules.update(jobs.open());
     }
     requestPass();
-    ports.timers().after(TICK_INTERVAL, this::tick);
   }
 
   private void runPass() {
--- a/masticspread-cell/src/main/java/org/masticspread/cell/journal/EndedRecord.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/journal/EndedRecord.java
@@ -1,5 +1,6 @@
 package org.masticspread.cell.journal;
 
+import java.util.Objects;
 import org.masticspread.model.cell.JobState;
 
 /**
@@ -8,4 +9,9 @@
  *
  * @param state the final state of the job
  */
-public record EndedRecord(JobState state) {}
+public record EndedRecord(JobState state) {
+  /** Checks that no field is missing. */
+  public EndedRecord {
+    Objects.requireNonNull(state, "state");
+  }
+}
--- a/masticspread-cell/src/main/java/org/masticspread/cell/journal/JobRecord.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/journal/JobRecord.java
@@ -1,5 +1,6 @@
 package org.masticspread.cell.journal;
 
+import java.util.Objects;
 import org.masticspread.model.cell.JobOrder;
 
 /**
@@ -9,4 +10,9 @@
  * @param acceptedAtMillis when the job was accepted by the wall clock, in ms since 1970
  * @param epoch the epoch in which it was accepted
  */
-public record JobRecord(JobOrder order, long acceptedAtMillis, long epoch) {}
+public record JobRecord(JobOrder order, long acceptedAtMillis, long epoch) {
+  /** Checks that no field is missing. */
+  public JobRecord {
+    Objects.requireNonNull(order, "order");
+  }
+}
--- a/masticspread-cell/src/main/java/org/masticspread/cell/journal/ProgressRecord.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/journal/ProgressRecord.java
@@ -1,6 +1,7 @@
 package org.masticspread.cell.journal;
 
 import java.util.List;
+import java.util.Objects;
 import org.masticspread.model.cell.JobState;
 
 /**
@@ -11,8 +12,10 @@
  * @param steps the steps of which at least one task has ended
  */
 public record ProgressRecord(JobState state, byte[] closed, List<StepRecord> steps) {
-  /** Copies the list. */
+  /** Checks that no field is missing, and copies the list. */
   public ProgressRecord {
+    Objects.requireNonNull(state, "state");
+    Objects.requireNonNull(closed, "closed");
     steps = List.copyOf(steps);
   }
 
--- a/masticspread-cell/src/main/java/org/masticspread/cell/journal/QueueRecord.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/journal/QueueRecord.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Objects;
 import org.masticspread.model.cell.AdviceRule;
 import org.masticspread.model.cell.QueueRule;
 
@@ -25,8 +26,11 @@
     int mostFailures,
     double stretch,
     List<AdviceRule> advice) {
-  /** Copies the list. */
+  /** Checks that no field is missing, and copies the list. */
   public QueueRecord {
+    Objects.requireNonNull(name, "name");
+    Objects.requireNonNull(endpoint, "endpoint");
+    Objects.requireNonNull(target, "target");
     advice = List.copyOf(advice);
   }
 
--- a/masticspread-cell/src/main/java/org/masticspread/cell/lead/Vm.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/lead/Vm.java
@@ -15,8 +15,10 @@
 import org.masticspread.cell.engine.PriorityAdviceDispatcher;
 import org.masticspread.cell.journal.Journal;
 import org.masticspread.cell.journal.LeaderRecord;
+import org.masticspread.cell.journal.QueueRecord;
 import org.masticspread.cell.journal.Rows;
 import org.masticspread.cell.journal.Term;
+import org.masticspread.cell.journal.UsedWorkersRecord;
 import org.masticspread.cell.journal.VmRecord;
 import org.masticspread.cell.port.TableCommit;
 import org.masticspread.cell.port.TableCommit.Put;
@@ -600,13 +602,20 @@
                 ports.meter()),
             configs.config().get(),
             election::onFenced);
-    stored.queues().forEach(newCell::restoreQueue);
-    stored.jobs().forEach(job -> newCell.restore(job.record(), job.progress()));
+    for (QueueRecord queue : stored.queues()) {
+      handleRow(Rows.QUEUE_TABLE, queue.name(), () -> newCell.restoreQueue(queue));
+    }
+    for (CellLoader.StoredJob job : stored.jobs()) {
+      String id = job.record().order().id();
+      handleRow(Rows.JOB_TABLE, id, () -> newCell.restore(job.record(), job.progress()));
+    }
     journal = Optional.of(newJournal);
     storeFailureDetector = new StoreFailureDetector(ports.clock());
     watchCommits(newJournal);
     workers.forEach(read -> applyWorkerRows(newCell, read.rows(), read.all()));
-    stored.workers().forEach(newCell::restoreWorkers);
+    for (UsedWorkersRecord used : stored.workers()) {
+      handleRow(Rows.USED_WORKER_TABLE, "", () -> newCell.restoreWorkers(used));
+    }
     cell = Optional.of(newCell);
     newCell.start();
     ports
@@ -679,11 +688,18 @@
         target.unregister(row.key());
         continue;
       }
-      Optional<WorkerEntry> entry = ports.workerRegistry().decoder().apply(row);
-      entry.ifPresent(
-          worker -> {
-            ids.add(worker.id());
-            target.register(worker);
+      handleRow(
+          row.table(),
+          row.key(),
+          () -> {
+            Optional<WorkerEntry> entry = ports.workerRegistry().decoder().apply(row);
+            if (entry.isEmpty()) {
+              // It names no worker to use, whatever it was before.
+              target.unregister(row.key());
+              return;
+            }
+            ids.add(row.key());
+            target.register(entry.get());
           });
     }
     if (all) {
@@ -691,6 +707,15 @@
     }
   }
 
+  /** Handles a row; one that fails must not keep others from being handled. */
+  private void handleRow(String table, String key, Runnable action) {
+    try {
+      action.run();
+    } catch (RuntimeException e) {
+      ports.log().event("row-not-handled", key, "table", table, "reason", String.valueOf(e));
+    }
+  }
+
   private void closeCell() {
     cell.ifPresent(Cell::close);
     journal.ifPresent(Journal::close);
--- a/masticspread-cell/src/test/java/org/masticspread/cell/lead/OddRowsTest.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/lead/OddRowsTest.java
@@ -9,6 +9,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.masticspread.cell.journal.JobRecord;
@@ -30,6 +31,9 @@
  * what they read beside it.
  */
 class OddRowsTest {
+  /** An empty map in MessagePack: a record whose fields are all missing. */
+  private static final byte[] EMPTY_MAP = {(byte) 0x80};
+
   private final VmCluster cluster =
       new VmCluster(Jobs.config(Jobs.queue("checks", 0, Optional.empty())));
 
@@ -70,8 +74,111 @@
     assertThat(cluster.workers.succeeded()).contains(id + ".0.0.0", id + ".0.0.1");
   }
 
+  private int usableWorkers() {
+    return cluster.vm(cluster.leaders().get(0)).cell().orElseThrow().usableWorkers();
+  }
+
+  @Nested
+  class RegistryEntries {
+    @ParameterizedTest
+    @ValueSource(strings = {"a-odd", "z-odd"})
+    void should_use_the_workers_registered_before_and_after_an_entry_that_fails(String id) {
+      // GIVEN
+      cluster.addFailingEntry(id);
+
+      // WHEN
+      startVms();
+
+      // THEN
+      assertThat(usableWorkers()).isEqualTo(2);
+      assertRuns("a");
+    }
+
+    @Test
+    void should_follow_the_registry_after_a_change_that_fails() {
+      // GIVEN
+      startVms();
+
+      // WHEN
+      cluster.addFailingEntry("a-odd");
+      pass(500);
+      cluster.unregister("w1");
+      pass(500);
+
+      // THEN
+      assertThat(usableWorkers()).isEqualTo(1);
+      assertRuns("a");
+    }
+
+    @Test
+    void should_start_nothing_more_on_a_worker_whose_entry_turns_unreadable() {
+      // GIVEN
+      startVms();
+
+      // WHEN
+      cluster.makeUnreadable("w1");
+      pass(500);
+
+      // THEN
+      assertThat(usableWorkers()).isEqualTo(1);
+      assertRuns("a");
+      assertThat(cluster.workers.starts()).noneMatch(start -> start.startsWith("w1 "));
+    }
+
+    @Test
+    void should_let_tasks_run_on_when_the_entry_of_their_worker_turns_unreadable() {
+      // GIVEN
+      startVms();
+      Duration runTime = Duration.ofSeconds(6);
+      cluster.workers.describe("long", new ResourceVector(4000, 1024, 0), runTime);
+      JobOrder order = Jobs.job("long", Jobs.step(4, 4000, runTime, false));
+      cluster.call("vm-1", Action.SUBMIT, "long", order);
+      pass(500);
+
+      // WHEN
+      cluster.makeUnreadable("w1");
+      pass(9000);
+
+      // THEN
+      assertThat(cluster.workers.starts()).hasSize(4);
+      assertThat(cluster.workers.succeeded()).hasSize(4);
+    }
+  }
+
   @Nested
   class RowsOfTheCell {
+    @ParameterizedTest
+    @ValueSource(strings = {"jobs", "progress", "ended", "used-workers", "queues"})
+    void should_load_the_other_rows_beside_one_whose_fields_are_missing(String table) {
+      // GIVEN
+      startVms();
+      assertRuns("a");
+      write(Rows.PART, table, "odd", EMPTY_MAP);
+
+      // WHEN
+      cluster.kill("vm-2");
+      pass(3000);
+
+      // THEN
+      assertThat(cluster.leaders()).containsExactly("vm-1");
+      assertRuns("b");
+    }
+
+    @Test
+    void should_elect_a_leader_beside_a_vm_whose_fields_are_missing() {
+      // GIVEN
+      write(Rows.VM_PART, Rows.VM_TABLE, "odd", EMPTY_MAP);
+
+      // WHEN
+      startVms();
+      cluster.kill("vm-2");
+      pass(3000);
+
+      // THEN
+      assertThat(cluster.leaders()).containsExactly("vm-1");
+      assertRuns("a");
+    }
+
     @ParameterizedTest
     @ValueSource(longs = {Long.MIN_VALUE, -9_000_000_000_000_000_000L, Long.MAX_VALUE})
     void should_load_the_other_jobs_beside_one_whose_times_are_out_of_range(long intervalMillis) {
--- a/masticspread-cell/src/test/java/org/masticspread/cell/testing/VmCluster.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/testing/VmCluster.java
@@ -93,6 +93,8 @@
   private final Set<List<String>> cutFromWorkers = new HashSet<>();
 
   private final Set<String> unregistered = new HashSet<>();
+  private final Set<String> failingEntries = new HashSet<>();
+  private final Set<String> unreadableEntries = new HashSet<>();
 
   /** The VMs whose open connections to the store went silent, until a call on one times out. */
   private final Set<String> silentToStore = new HashSet<>();
@@ -238,7 +240,25 @@
     return Optional.of(configs.get(Long.valueOf(new String(row.value(), StandardCharsets.UTF_8))));
   }
 
+  /** Writes a registry entry that cannot be decoded without an unexpected exception. */
+  public void addFailingEntry(String id) {
+    failingEntries.add(id);
+    write("servers", id);
+  }
+
+  /** Makes the registry entry of a worker unreadable. */
+  public void makeUnreadable(String id) {
+    unreadableEntries.add(id);
+    write("servers", id);
+  }
+
   private Optional<WorkerEntry> entry(String id) {
+    if (failingEntries.contains(id)) {
+      throw new IllegalStateException("cannot decode " + id);
+    }
+    if (unreadableEntries.contains(id)) {
+      return Optional.empty();
+    }
     return workers.entries().stream().filter(entry -> entry.id().equals(id)).findFirst();
   }
 
