--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Cell.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Cell.java
@@ -442,8 +442,8 @@
     }
     switch (call.action()) {
       case SUBMIT -> submit(call.order(), reply);
-      case SHOW -> show(call.job(), reply);
-      case CANCEL -> cancel(call.job(), reply);
+      case SHOW -> show(call.job(), false, reply);
+      case CANCEL -> cancel(call.job(), false, reply);
       case COUNT ->
           reply.accept(
               new CellReply(
@@ -613,7 +613,25 @@
         new CellReply(CellReply.Outcome.REFUSED, null, 0, (int) retryAfter.toMillis(), reason));
   }
 
-  private void show(String id, Consumer<CellReply> reply) {
+  /**
+   * Replies that a job is unknown, once the store has confirmed that no other VM led, and so could
+   * accept the job, when the call came.
+   *
+   * @param retry handles the call again, as the job may have been submitted meanwhile
+   */
+  private void replyUnknown(boolean confirmed, Runnable retry, Consumer<CellReply> reply) {
+    if (confirmed) {
+      reply.accept(CellReply.of(CellReply.Outcome.UNKNOWN_JOB, ""));
+    } else if (storeUnavailable()) {
+      int retryAfter = (int) STORE_RETRY_AFTER.toMillis();
+      String reason = "the store does not answer, and another VM may lead";
+      reply.accept(new CellReply(CellReply.Outcome.REFUSED, null, 0, retryAfter, reason));
+    } else {
+      ports.journal().whenConfirmed(retry);
+    }
+  }
+
+  private void show(String id, boolean confirmed, Consumer<CellReply> reply) {
     Optional<JobState> ended = jobs.ended(id);
     if (ended.isPresent()) {
       reply.accept(new CellReply(CellReply.Outcome.SHOWN, ended.get(), 0, 0, ""));
@@ -621,24 +639,24 @@
     }
     Optional<Job> job = jobs.find(id);
     if (job.isEmpty()) {
-      reply.accept(CellReply.of(CellReply.Outcome.UNKNOWN_JOB, ""));
+      replyUnknown(confirmed, () -> show(id, true, reply), reply);
       return;
     }
     if (!job.get().durable) {
-      ports.journal().whenDurable(() -> show(id, reply));
+      ports.journal().whenDurable(() -> show(id, confirmed, reply));
       return;
     }
     reply.accept(new CellReply(CellReply.Outcome.SHOWN, job.get().visibleState, 0, 0, ""));
   }
 
-  private void cancel(String id, Consumer<CellReply> reply) {
+  private void cancel(String id, boolean confirmed, Consumer<CellReply> reply) {
     if (jobs.ended(id).isPresent()) {
       reply.accept(CellReply.of(CellReply.Outcome.CANCELLED, "the job has ended"));
       return;
     }
     Optional<Job> job = jobs.find(id);
     if (job.isEmpty()) {
-      reply.accept(CellReply.of(CellReply.Outcome.UNKNOWN_JOB, ""));
+      replyUnknown(confirmed, () -> cancel(id, true, reply), reply);
       return;
     }
     if (!job.get().state.ended()) {
--- a/masticspread-cell/src/main/java/org/masticspread/cell/journal/Journal.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/journal/Journal.java
@@ -71,6 +71,10 @@
 
   private final Map<RowName, Entry> dirty = new LinkedHashMap<>();
   private final Deque<Waiter> waiters = new ArrayDeque<>();
+
+  /** Actions that wait for a commit that is sent later than they were added. */
+  private final List<Runnable> confirmations = new ArrayList<>();
+
   private long headVersion;
   private long commitCount;
   private long lastSequence;
@@ -188,6 +192,17 @@
     waiters.add(new Waiter(lastSequence, action));
   }
 
+  /**
+   * Runs an action once the store has confirmed that no other VM had taken the cell over when this
+   * method was called. The action never runs if another VM has.
+   *
+   * @param action the action
+   */
+  public void whenConfirmed(Runnable action) {
+    confirmations.add(action);
+    schedule(LINGER);
+  }
+
   /**
    * Returns how long commits have been failing.
    *
@@ -233,7 +248,7 @@
   }
 
   private void schedule(Duration delay) {
-    if (closed || inFlight || scheduled || dirty.isEmpty()) {
+    if (closed || inFlight || scheduled || (dirty.isEmpty() && confirmations.isEmpty())) {
       return;
     }
     scheduled = true;
@@ -258,7 +273,7 @@
   }
 
   private void flush() {
-    if (!closed && !inFlight && !dirty.isEmpty()) {
+    if (!closed && !inFlight && !(dirty.isEmpty() && confirmations.isEmpty())) {
       commit();
     }
   }
@@ -266,7 +281,8 @@
   private void commit() {
     List<Put> puts = new ArrayList<>();
     List<RowName> removals = new ArrayList<>();
-    batch = new Batch(collect(puts, removals), puts, removals);
+    batch = new Batch(collect(puts, removals), puts, removals, List.copyOf(confirmations));
+    confirmations.clear();
     commitCount++;
     puts.add(new Put(Rows.HEAD, Rows.encode(new HeadRecord(term.epoch(), commitCount))));
     inFlight = true;
@@ -334,6 +350,7 @@
     confirmedMillis = attemptMillis;
     durableSequence = batch.sequence;
     inFlight = false;
+    final List<Runnable> confirmed = batch.confirmations;
     batch = null;
     lastCommitMillis = clock.millis();
     if (failingSinceMillis >= 0) {
@@ -344,6 +361,7 @@
     while (!waiters.isEmpty() && waiters.peek().sequence <= durableSequence) {
       waiters.poll().action.run();
     }
+    confirmed.forEach(Runnable::run);
     schedule(LINGER);
   }
 
@@ -400,14 +418,16 @@
     private final long sequence;
     private final List<Put> puts;
     private final List<RowName> removals;
+    private final List<Runnable> confirmations;
 
     /** Whether every attempt was refused, so that no row was or can still be written. */
     private boolean refusedOnly = true;
 
-    Batch(long sequence, List<Put> puts, List<RowName> removals) {
+    Batch(long sequence, List<Put> puts, List<RowName> removals, List<Runnable> confirmations) {
       this.sequence = sequence;
       this.puts = puts;
       this.removals = removals;
+      this.confirmations = confirmations;
     }
 
     boolean writes(RowName row) {
--- a/masticspread-cell/src/main/java/org/masticspread/cell/lead/Vm.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/lead/Vm.java
@@ -281,12 +281,12 @@
   }
 
   /**
-   * Tells whether this VM leads the cell or hears the leader.
+   * Tells whether this VM leads the cell, by a recent proof, or hears the leader.
    *
    * @return whether calls can be answered or forwarded
    */
   public boolean leaderReachable() {
-    return cell.isPresent() || (!election.leading() && election.hearsLeader());
+    return cell.map(Cell::leads).orElse(!election.leading() && election.hearsLeader());
   }
 
   /**
--- a/masticspread-cell/src/test/java/org/masticspread/cell/journal/JournalTest.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/journal/JournalTest.java
@@ -249,4 +249,48 @@
       assertThat(journal.stalledFor()).isGreaterThan(Duration.ofMillis(600));
     }
   }
+
+  @Nested
+  class Confirmation {
+    @Test
+    void should_commit_only_the_head_row_if_nothing_is_written() {
+      // WHEN
+      journal.whenConfirmed(() -> events.add("confirmed"));
+      time.pass(Duration.ofMillis(50));
+
+      // THEN
+      assertThat(events).containsExactly("reached true", "confirmed");
+    }
+
+    /** Guards against a commit that was sent before a takeover and answered after it. */
+    @Test
+    void should_not_rely_on_a_commit_that_was_sent_before() {
+      // GIVEN
+      put("first");
+      time.pass(Duration.ofMillis(8));
+
+      // WHEN
+      journal.whenConfirmed(() -> events.add("confirmed"));
+      time.pass(Duration.ofMillis(4));
+
+      // THEN
+      assertThat(stored()).isEqualTo("first");
+      assertThat(events).containsExactly("reached true");
+      time.pass(Duration.ofMillis(20));
+      assertThat(events).containsExactly("reached true", "reached true", "confirmed");
+    }
+
+    @Test
+    void should_never_confirm_once_another_vm_leads() {
+      // GIVEN
+      claim("life-2", 2, table.row(Rows.LEADER).orElseThrow().version());
+
+      // WHEN
+      journal.whenConfirmed(() -> events.add("confirmed"));
+      time.pass(Duration.ofMillis(2000));
+
+      // THEN
+      assertThat(events).containsExactly("deposed");
+    }
+  }
 }
--- a/masticspread-cell/src/test/java/org/masticspread/cell/lead/CutOffLeaderTest.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/lead/CutOffLeaderTest.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.masticspread.cell.testing.FakeTable.CommitOutcome;
 import org.masticspread.cell.testing.Jobs;
@@ -190,6 +191,64 @@
     }
   }
 
+  @Nested
+  class NegativeAnswers {
+    private List<Outcome> outcomes(String vm, Action action, String job) {
+      List<CellReply> replies = cluster.call(vm, action, job, null);
+      pass(3100);
+      return replies.stream().map(CellReply::outcome).toList();
+    }
+
+    /** Guards against a cancelling that is acknowledged by a leader that does not know the job. */
+    @ParameterizedTest
+    @EnumSource(names = {"SHOW", "CANCEL"})
+    void should_not_say_that_a_job_is_unknown_once_another_vm_may_have_accepted_it(Action action) {
+      // GIVEN
+      cutOff(LEADER, true);
+      pass(1700);
+      accept("a", 20_000, step(1, 20_000));
+
+      // WHEN
+      List<Outcome> outcomes = outcomes(LEADER, action, "a");
+
+      // THEN
+      assertThat(outcomes).containsExactly(Outcome.REFUSED);
+    }
+
+    @ParameterizedTest
+    @EnumSource(names = {"SHOW", "CANCEL"})
+    void should_answer_from_the_new_leader_while_it_reads_late_that_another_vm_leads(
+        Action action) {
+      // GIVEN
+      cluster.storeDelay(LEADER, Duration.ofMillis(600));
+      cluster.cutFromPeers(LEADER, true);
+      while (!cluster.leaders().contains(SUCCESSOR)) {
+        pass(10);
+      }
+      cluster.cutFromPeers(LEADER, false);
+      accept("a", 20_000, step(1, 20_000));
+      assertThat(cluster.leaders()).contains(LEADER);
+
+      // WHEN
+      List<Outcome> outcomes = outcomes(LEADER, action, "a");
+
+      // THEN
+      assertThat(outcomes)
+          .containsExactly(action == Action.SHOW ? Outcome.SHOWN : Outcome.CANCELLED);
+    }
+
+    @ParameterizedTest
+    @EnumSource(names = {"SHOW", "CANCEL"})
+    void should_say_soon_that_a_job_is_unknown_while_the_store_answers(Action action) {
+      // WHEN
+      List<CellReply> replies = cluster.call("vm-3", action, "nobody's", null);
+      pass(60);
+
+      // THEN
+      assertThat(replies).extracting(CellReply::outcome).containsExactly(Outcome.UNKNOWN_JOB);
+    }
+  }
+
   @Nested
   class StoreLostForAll {
     /** Guards against a leader that lets all work lapse because no VM reaches the store. */
