Fix a worker that stays unlisted when it registers while it is being removed

Cause: since a worker counts as listed until its removal is durable, so ensureListed took one that registered meanwhile for listed. It got no task until its entry changed again; before the removal was durable it got tasks that a new leader would not have found.

Fix: only the requested address tells whether a worker is about to be listed, and one whose removal is pending counts as unlisted until it is listed again.

--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/UsedWorkers.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/UsedWorkers.java
@@ -61,9 +61,14 @@
   /** Lists a worker under its current address, unless it is listed or about to be. */
   void ensureListed(Worker worker) {
     String address = worker.entry.address();
-    if (!started || worker.listed() || address.equals(worker.requestedListedAddress)) {
+    if (!started || address.equals(worker.requestedListedAddress)) {
       return;
     }
+    boolean removalPending = worker.requestedListedAddress.isEmpty();
+    if (removalPending) {
+      // The removal may be durable before the new entry is.
+      worker.listedAddress = "";
+    }
     long listingNumber = ++lastListingNumber;
     worker.listingNumber = listingNumber;
     worker.requestedListedAddress = address;
