--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/CellPorts.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/CellPorts.java
@@ -18,8 +18,8 @@
  * @param adviceDispatcher sends requests to the advisor
  * @param timers runs actions later, on the thread that the cell is confined to
  * @param clock a monotonic clock
- * @param timeOfDay the wall clock; used for the acceptance times of jobs and the due times of timed
- *     jobs
+ * @param timeOfDay the wall clock; used for the acceptance times of jobs, the due times of timed
+ *     jobs, and to detect that the VM was suspended
  * @param log receives an event for each decision
  * @param metrics the registry of counters and histograms
  * @param limits the platform's limits
--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/InheritedLeases.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/InheritedLeases.java
@@ -43,6 +43,7 @@
     return endMillis;
   }
 
+  /** Returns whether it is known when they expire. */
   boolean endKnown() {
     return endMillis != UNKNOWN;
   }
@@ -56,11 +57,11 @@
     boolean noMajority = 2 * refusing >= used.size();
     long waited = ports.clock().millis() - startMillis;
     if (noMajority || waited > LeadershipProof.MAX_TIME_WITHOUT_COMMIT.toMillis()) {
-      formerLeadersEnded(noMajority ? "workers refuse it" : "it had no time left");
+      formerLeadersEnded(noMajority ? "workers refuse it" : "no commit for too long");
     }
   }
 
-  /** Records that no former leader acts any more. */
+  /** Records that no former leader can prove any more that it leads. */
   void formerLeadersEnded(String reason) {
     if (endKnown()) {
       return;
--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/LeadershipProof.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/LeadershipProof.java
@@ -26,16 +26,16 @@
   /** How long a leader without commits may rely on the answers of workers. */
   static final Duration MAX_TIME_WITHOUT_COMMIT = Duration.ofSeconds(60);
 
-  /** Two renewals that workers hold for a second each. */
+  /** The age up to which a proof allows orders; workers may hold two renewals for a second each. */
   private static final Duration MAX_AGE = Duration.ofMillis(2000);
 
-  /** Age of a commit up to which the answers of workers are not looked at, to save time. */
+  /** Age of a commit up to which the answers of workers are not evaluated. */
   private static final Duration RECENT_COMMIT_AGE = Duration.ofMillis(400);
 
-  /** How long the result of a look at all workers is reused; it ages meanwhile. */
+  /** How long the moment that the answers of workers prove is cached; the proof ages meanwhile. */
   private static final Duration WORKER_CHECK_INTERVAL = Duration.ofMillis(50);
 
-  /** Difference between the clocks above which the VM was suspended or its time was set. */
+  /** Gap between the clocks above which the VM was suspended or its wall clock was set. */
   private static final Duration MAX_CLOCK_GAP = Duration.ofMillis(150);
 
   private static final long NONE = Long.MIN_VALUE / 2;
@@ -43,7 +43,7 @@
   private final CellPorts ports;
   private final Fleet fleet;
 
-  /** Proofs of earlier moments are void. */
+  /** Proofs of moments before this are void. */
   private long validSinceMillis = NONE;
 
   private long fencedMillis = NONE;
@@ -106,8 +106,8 @@
   }
 
   /**
-   * Voids earlier proofs if the VM may have been suspended since the last look, during which only
-   * the time of day went on.
+   * Voids earlier proofs if the VM may have been suspended since the previous check: meanwhile the
+   * monotonic clock stood still, and the wall clock did not.
    */
   private void voidProofsBeforeSuspension() {
     long now = ports.clock().millis();
--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Worker.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Worker.java
@@ -12,6 +12,7 @@
 /** The cell's view of a worker. Confined to the cell's thread. */
 final class Worker implements CandidateWorker {
   private final SpeedEstimator speeds;
+  private final InheritedLeases inheritedLeases;
   WorkerEntry entry;
 
   /** The runs that may be active, by task name and run number. */
@@ -98,8 +99,6 @@
   /** The number of the latest listing, so that only that one takes effect. */
   long listingNumber;
 
-  private final InheritedLeases inheritedLeases;
-
   /** Whether it may run tasks of earlier epochs, if it has not answered in this epoch. */
   boolean mayHoldInheritedLease;
 
--- a/masticspread-cell/src/main/java/org/masticspread/cell/lead/VmPorts.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/lead/VmPorts.java
@@ -27,7 +27,8 @@
  * @param operatorConfig the rows that hold the operator's configuration
  * @param timers runs actions on the VM's only thread
  * @param clock a monotonic clock
- * @param timeOfDay the wall clock, used only for the due times of scheduled jobs
+ * @param timeOfDay the wall clock; used for the due times of scheduled jobs, and to detect that the
+ *     VM was suspended, during which the monotonic clock stands still
  * @param log records each decision
  * @param metrics counters and histograms
  * @param limits the limits of the platform
