--- /dev/null
+++ b/review/standin-2/Executor.java
@@ -0,0 +1,255 @@
+package review2;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.sun.net.httpserver.HttpExchange;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * An executor as PROTOCOL.md describes it. The spec of a job is the run time of its tasks in ms.
+ */
+final class Executor {
+  private static final int ENDS_AT_A_TIME = 500;
+  private static final long MAX_HOLD_MILLIS = 6000;
+
+  private static final ScheduledExecutorService TIMER =
+      Executors.newScheduledThreadPool(
+          2,
+          task -> {
+            Thread thread = new Thread(task, "executor");
+            thread.setDaemon(true);
+            return thread;
+          });
+
+  final String id;
+  final int millicores;
+  private final Record record;
+  private final History history;
+  private final long checkpointMillis;
+  private final long born = System.currentTimeMillis();
+  private final long clockOffset = 400_000;
+  private final Map<String, Run> running = new LinkedHashMap<>();
+  private final Map<String, Long> endedRuns = new HashMap<>();
+  private final List<End> ends = new ArrayList<>();
+  private final int port;
+  private long token;
+  private long lastEnd;
+  private long leaseUntil;
+  private long lapses;
+  private int used;
+  private int mostUnacked;
+  private volatile double slowness = 1;
+
+  Executor(Record record, History history, String id, int millicores, long checkpointMillis)
+      throws IOException {
+    this.record = record;
+    this.history = history;
+    this.id = id;
+    this.millicores = millicores;
+    this.checkpointMillis = checkpointMillis;
+    this.port = Http.serve("127.0.0.1", 0, this::handle);
+    TIMER.scheduleWithFixedDelay(this::work, 10, 10, TimeUnit.MILLISECONDS);
+  }
+
+  private static final class Run {
+    String task;
+    long number;
+    double worked;
+    double work;
+    String checkpoint = "";
+    History.Entry entry;
+  }
+
+  private record End(long number, String task, long run, String how, String saved, long lapses,
+      History.Entry entry) {}
+
+  JsonNode registryEntry(long seq) {
+    ObjectNode entry =
+        Http.JSON
+            .createObjectNode()
+            .put("service", "desk")
+            .put("address", "127.0.0.1:" + port)
+            .put("zone", "local")
+            .put("version", "v1")
+            .put("slots", 8)
+            .put("state", "ready")
+            .put("cold_left_ms", 0)
+            .put("clock_ms", clock())
+            .put("born", born)
+            .put("seq", seq);
+    entry.putObject("capacity").put("cpu", millicores).put("mem_mb", 131072).put("gpus", 0);
+    entry.putArray("labels").add("a").add("r1-1");
+    return entry;
+  }
+
+  void slowness(double factor) {
+    slowness = factor;
+    record.line("executor " + id + " works " + factor + " times as long");
+  }
+
+  synchronized int mostUnacked() {
+    return mostUnacked;
+  }
+
+  private long clock() {
+    return clockOffset + Record.now();
+  }
+
+  private Http.Answer handle(
+      String method, String path, String query, HttpExchange exchange, JsonNode body)
+      throws Exception {
+    String expected = exchange.getRequestHeaders().getFirst("Expect-Instance");
+    if (expected != null && !expected.equals(id)) {
+      return new Http.Answer(421, null);
+    }
+    synchronized (this) {
+      if (body.path("fencing_token").asLong() < token) {
+        return new Http.Answer(409, clockAnswer().put("reason", "fence"));
+      }
+      token = body.path("fencing_token").asLong();
+      switch (path) {
+        case "/-/run-start":
+          return start(body);
+        case "/-/run-stop":
+          return stop(body);
+        case "/-/hold":
+          return hold(body);
+        default:
+          return new Http.Answer(404, null);
+      }
+    }
+  }
+
+  private void extendLease(JsonNode body) {
+    if (body.has("deadline_ms")) {
+      long end = Math.min(body.path("deadline_ms").asLong(), clock() + MAX_HOLD_MILLIS);
+      leaseUntil = Math.max(leaseUntil, end);
+    }
+  }
+
+  private Http.Answer start(JsonNode body) {
+    String task = body.path("task").asText();
+    long number = body.path("run_id").asLong();
+    int cpu = history.cpu(task);
+    if (body.path("deadline_ms").asLong() <= clock()) {
+      return new Http.Answer(409, clockAnswer().put("reason", "late"));
+    }
+    extendLease(body);
+    Run current = running.get(task);
+    if (current != null && current.number == number) {
+      return new Http.Answer(200, clockAnswer());
+    }
+    if (current != null || endedRuns.getOrDefault(task, 0L) >= number) {
+      return new Http.Answer(409, clockAnswer().put("reason", "old"));
+    }
+    Run run = new Run();
+    run.task = task;
+    run.number = number;
+    run.work = Double.parseDouble(body.path("spec").asText());
+    run.checkpoint = body.path("checkpoint").asText("");
+    run.entry = history.started(id, task, number);
+    running.put(task, run);
+    used += cpu;
+    if (used > millicores) {
+      history.overCapacity(id, task, number, used);
+    }
+    return new Http.Answer(200, clockAnswer());
+  }
+
+  private Http.Answer stop(JsonNode body) {
+    String task = body.path("task").asText();
+    long number = body.path("run_id").asLong();
+    endedRuns.merge(task, number, Math::max);
+    Run run = running.get(task);
+    if (run != null && run.number <= number) {
+      end(run, "stopped");
+    }
+    return new Http.Answer(200, clockAnswer());
+  }
+
+  private Http.Answer hold(JsonNode body) throws InterruptedException {
+    extendLease(body);
+    long acked = body.path("acked_seq").asLong();
+    long now = Record.now();
+    ends.removeIf(
+        end -> {
+          if (end.number > acked) {
+            return false;
+          }
+          end.entry.acked(now, end.lapses == lapses);
+          return true;
+        });
+    long until = Record.now() + Math.min(2000, body.path("wait_ms").asLong());
+    long last = lastEnd;
+    while (ends.isEmpty() && lastEnd == last && Record.now() < until) {
+      wait(Math.max(1, until - Record.now()));
+    }
+    ObjectNode answer = clockAnswer();
+    ArrayNode runs = answer.putArray("running");
+    for (Run run : running.values()) {
+      int percent = (int) Math.min(99, 100 * run.worked / run.work);
+      runs.addArray().add(run.task).add(run.number).add(run.checkpoint).add(percent).add(0);
+    }
+    ArrayNode finished = answer.putArray("finished");
+    for (End end : ends) {
+      if (finished.size() >= ENDS_AT_A_TIME) {
+        break;
+      }
+      finished.addArray().add(end.number).add(end.task).add(end.run).add(end.how).add(end.saved);
+    }
+    return new Http.Answer(200, answer);
+  }
+
+  private ObjectNode clockAnswer() {
+    return Http.JSON.createObjectNode().put("clock_ms", clock()).put("born", born);
+  }
+
+  private long lastWorkMillis = Record.now();
+
+  private synchronized void work() {
+    long now = Record.now();
+    double worked = (now - lastWorkMillis) / slowness;
+    lastWorkMillis = now;
+    if (!running.isEmpty() && clock() > leaseUntil) {
+      lapses++;
+      record.line("executor " + id + " lease lapsed, runs " + running.size());
+      List.copyOf(running.values()).forEach(run -> end(run, "lapsed"));
+    }
+    for (Run run : List.copyOf(running.values())) {
+      double before = run.worked;
+      run.worked += worked;
+      if (checkpointMillis > 0
+          && history.checkpoints(run.task)
+          && Math.floor(run.worked / checkpointMillis) > Math.floor(before / checkpointMillis)) {
+        run.checkpoint = saved(run);
+      }
+      if (run.worked >= run.work) {
+        end(run, "done");
+      }
+    }
+  }
+
+  private static String saved(Run run) {
+    return String.format("%08x%08x", (long) run.worked, run.task.hashCode());
+  }
+
+  private void end(Run run, String how) {
+    running.remove(run.task);
+    used -= history.cpu(run.task);
+    endedRuns.merge(run.task, run.number, Math::max);
+    run.entry.ended(Record.now(), how);
+    String saved = how.equals("stopped") && history.checkpoints(run.task) ? saved(run) : "";
+    ends.add(new End(++lastEnd, run.task, run.number, how, saved, lapses, run.entry));
+    mostUnacked = Math.max(mostUnacked, ends.size());
+    notifyAll();
+  }
+}
