--- a/review/standin-2/Deployment.java
+++ b/review/standin-2/Deployment.java
@@ -1,5 +1,6 @@
 package review2;
 
+import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
 import java.util.ArrayList;
@@ -23,7 +24,15 @@
   }
 
   void executor(String id, int millicores, long checkpointMillis) throws IOException {
-    Executor executor = new Executor(record, history, id, millicores, checkpointMillis);
+    executor(id, millicores, checkpointMillis, 100, 6000);
+  }
+
+  void executor(
+      String id, int millicores, long checkpointMillis, long restoreMillis, long maxHoldMillis)
+      throws IOException {
+    Executor executor =
+        new Executor(
+            record, history, id, millicores, checkpointMillis, restoreMillis, maxHoldMillis);
     executors.add(executor);
     Thread thread =
         new Thread(
@@ -42,20 +51,27 @@
   }
 
   void configure(long version, int maxAttempts, long targetMillis) {
+    configure(version, maxAttempts, targetMillis, List.of(PREFIX));
+  }
+
+  /** Writes a configuration with one route for each path prefix. */
+  void configure(long version, int maxAttempts, long targetMillis, List<String> prefixes) {
     ObjectNode config = Http.JSON.createObjectNode().put("version", version);
-    config
-        .putArray("routes")
-        .addObject()
-        .put("name", "r-jobs")
-        .put("host", Vms.HOST)
-        .put("path_prefix", PREFIX)
-        .put("kind", "non_idempotent")
-        .put("timeout_ms", 3000)
-        .put("target_duration_ms", targetMillis)
-        .put("priority", 1)
-        .put("service", "desk")
-        .put("max_attempts", maxAttempts)
-        .put("stretch", 4.0);
+    ArrayNode routes = config.putArray("routes");
+    for (String prefix : prefixes) {
+      routes
+          .addObject()
+          .put("name", "r-" + prefix.replace("/", ""))
+          .put("host", Vms.HOST)
+          .put("path_prefix", prefix)
+          .put("kind", "non_idempotent")
+          .put("timeout_ms", 3000)
+          .put("target_duration_ms", targetMillis)
+          .put("priority", 1)
+          .put("service", "desk")
+          .put("max_attempts", maxAttempts)
+          .put("stretch", 4.0);
+    }
     config
         .putArray("services")
         .addObject()
@@ -64,12 +80,13 @@
         .put("max_conns", 64)
         .put("enforces_capacity", false);
     config.putObject("limits").put("max_body_bytes", 262_144).put("idle_timeout_ms", 15_000);
-    store.write("op", "config", config);
+    boolean written = store.write("op", "config", config);
+    record.line("configuration " + version + " with " + prefixes + " written: " + written);
   }
 
   void vms(int count) throws IOException {
     for (int i = 1; i <= count; i++) {
-      vms.start("vm-" + i, "127.0.0." + (10 + i), store.address());
+      vms.start("vm-" + i, Vms.freeIp(), store.address());
     }
   }
 
@@ -95,6 +112,22 @@
     return false;
   }
 
+  /** Submits a body once at a VM chosen by the number of the call; returns the answer. */
+  String post(String id, int cpu, boolean checkpoints, String body, int call) {
+    history.job(id, cpu, checkpoints);
+    Vms.Vm vm = vms.all().get(Math.floorMod(call, vms.all().size()));
+    String answer = vms.call(vm, "POST", PREFIX + id, body);
+    record.line("POST " + id + " at " + vm.name + " -> " + answer);
+    return answer;
+  }
+
+  String cancel(String id, int call) {
+    Vms.Vm vm = vms.all().get(Math.floorMod(call, vms.all().size()));
+    String answer = vms.call(vm, "DELETE", PREFIX + id, "");
+    record.line("DELETE " + id + " at " + vm.name + " -> " + answer);
+    return answer;
+  }
+
   String state(String id) {
     Vms.Vm vm = vms.all().get(Math.floorMod(id.hashCode(), vms.all().size()));
     return vms.call(vm, "GET", PREFIX + id, "");
--- a/review/standin-2/Executor.java
+++ b/review/standin-2/Executor.java
@@ -19,7 +19,6 @@
  */
 final class Executor {
   private static final int ENDS_AT_A_TIME = 500;
-  private static final long MAX_HOLD_MILLIS = 6000;
 
   private static final ScheduledExecutorService TIMER =
       Executors.newScheduledThreadPool(
@@ -35,6 +34,8 @@
   private final Record record;
   private final History history;
   private final long checkpointMillis;
+  private final long restoreMillis;
+  private final long maxHoldMillis;
   private final long born = System.currentTimeMillis();
   private final long clockOffset = 400_000;
   private final Map<String, Run> running = new LinkedHashMap<>();
@@ -49,13 +50,22 @@
   private int mostUnacked;
   private volatile double slowness = 1;
 
-  Executor(Record record, History history, String id, int millicores, long checkpointMillis)
+  Executor(
+      Record record,
+      History history,
+      String id,
+      int millicores,
+      long checkpointMillis,
+      long restoreMillis,
+      long maxHoldMillis)
       throws IOException {
     this.record = record;
     this.history = history;
     this.id = id;
     this.millicores = millicores;
     this.checkpointMillis = checkpointMillis;
+    this.restoreMillis = restoreMillis;
+    this.maxHoldMillis = maxHoldMillis;
     this.port = Http.serve("127.0.0.1", 0, this::handle);
     TIMER.scheduleWithFixedDelay(this::work, 10, 10, TimeUnit.MILLISECONDS);
   }
@@ -65,6 +75,7 @@
     long number;
     double worked;
     double work;
+    double restoreLeft;
     String checkpoint = "";
     History.Entry entry;
   }
@@ -96,6 +107,19 @@
     record.line("executor " + id + " works " + factor + " times as long");
   }
 
+  /** Returns how many thousandths of a core are in use. */
+  synchronized int used() {
+    return used;
+  }
+
+  synchronized int running(String job) {
+    int count = 0;
+    for (Run run : running.values()) {
+      count += run.task.startsWith(job + ".") ? 1 : 0;
+    }
+    return count;
+  }
+
   synchronized int mostUnacked() {
     return mostUnacked;
   }
@@ -131,7 +155,7 @@
 
   private void extendLease(JsonNode body) {
     if (body.has("deadline_ms")) {
-      long end = Math.min(body.path("deadline_ms").asLong(), clock() + MAX_HOLD_MILLIS);
+      long end = Math.min(body.path("deadline_ms").asLong(), clock() + maxHoldMillis);
       leaseUntil = Math.max(leaseUntil, end);
     }
   }
@@ -156,6 +180,10 @@
     run.number = number;
     run.work = Double.parseDouble(body.path("spec").asText());
     run.checkpoint = body.path("checkpoint").asText("");
+    if (!run.checkpoint.isEmpty()) {
+      run.worked = Long.parseLong(run.checkpoint.substring(0, 8), 16);
+      run.restoreLeft = restoreMillis;
+    }
     run.entry = history.started(id, task, number);
     running.put(task, run);
     used += cpu;
@@ -225,6 +253,10 @@
       List.copyOf(running.values()).forEach(run -> end(run, "lapsed"));
     }
     for (Run run : List.copyOf(running.values())) {
+      if (run.restoreLeft > 0) {
+        run.restoreLeft -= worked;
+        continue;
+      }
       double before = run.worked;
       run.worked += worked;
       if (checkpointMillis > 0
--- a/review/standin-2/Store.java
+++ b/review/standin-2/Store.java
@@ -83,6 +83,22 @@
     return true;
   }
 
+  /** Returns the name of the VM that last wrote the row of the leader; empty if none has. */
+  synchronized String leader(List<String> vms) {
+    for (Row row : rows.values()) {
+      if (row.name.table.equals("leader")) {
+        String text =
+            new String(Base64.getDecoder().decode(row.value), StandardCharsets.ISO_8859_1);
+        for (String vm : vms) {
+          if (text.contains(vm)) {
+            return vm;
+          }
+        }
+      }
+    }
+    return "";
+  }
+
   private Http.Answer handle(
       String method, String path, String query, HttpExchange exchange, JsonNode body)
       throws Exception {
--- a/review/standin-2/Vms.java
+++ b/review/standin-2/Vms.java
@@ -16,11 +16,13 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
 /** Starts VMs with the run line of the deploy file, and calls them as clients do. */
 final class Vms implements AutoCloseable {
+  private static final int METRICS_PORT = 9464;
   static final String HOST = "desk.example";
 
   /** A VM process and its addresses. */
@@ -34,6 +36,7 @@
 
   private final Record record;
   private final Path folder;
+  long maxHoldMillis = 6000;
   private final Map<String, Vm> vms = new LinkedHashMap<>();
   final HttpClient client =
       HttpClient.newBuilder()
@@ -65,7 +68,7 @@
     settings.put("heartbeat_ms", 1500);
     settings
         .putObject("bounds")
-        .put("max_hold_ms", 6000)
+        .put("max_hold_ms", maxHoldMillis)
         .put("grace_s", 6)
         .put("stop_grace_ms", 900)
         .put("gang_timeout_ms", 3000)
@@ -101,6 +104,13 @@
     return folder.resolve(vm.name + ".log");
   }
 
+  /** Kills the process of a VM and waits until it has gone. */
+  void kill(Vm vm) throws InterruptedException {
+    vm.process.destroyForcibly();
+    vm.process.waitFor();
+    record.line("vm " + vm.name + " killed");
+  }
+
   /** Waits until every VM is ready; returns false if they are not in time. */
   boolean awaitReady(long millis) throws InterruptedException {
     long until = Record.now() + millis;
@@ -148,6 +158,22 @@
     }
   }
 
+  /** Returns a loopback address at which the fixed port of the metrics is free. */
+  static String freeIp() throws IOException {
+    for (int attempt = 0; attempt < 100; attempt++) {
+      Random random = new Random();
+      String ip =
+          "127." + (1 + random.nextInt(250)) + "." + random.nextInt(250) + "."
+              + (1 + random.nextInt(250));
+      try (ServerSocket socket = new ServerSocket(METRICS_PORT, 1, InetAddress.getByName(ip))) {
+        return ip;
+      } catch (IOException e) {
+        continue;
+      }
+    }
+    throw new IOException("no free address");
+  }
+
   private static int freePort(String ip) throws IOException {
     try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(ip))) {
       return socket.getLocalPort();
