--- a/review/standin-2/Deployment.java
+++ b/review/standin-2/Deployment.java
@@ -100,7 +100,7 @@
     if (checkpoints) {
       step.put("checkpoints", true);
     }
-    for (int attempt = 0; attempt < 4; attempt++) {
+    for (int attempt = 0; attempt < 8; attempt++) {
       Vms.Vm vm = vms.all().get(Math.floorMod(id.hashCode() + attempt, vms.all().size()));
       String answer = vms.call(vm, "POST", PREFIX + id, body.toString());
       record.line("POST " + id + " tasks " + tasks + " at " + vm.name + " -> " + answer);
--- a/review/standin-2/Executor.java
+++ b/review/standin-2/Executor.java
@@ -36,8 +36,9 @@
   private final long checkpointMillis;
   private final long restoreMillis;
   private final long maxHoldMillis;
-  private final long born = System.currentTimeMillis();
-  private final long clockOffset = 400_000;
+  private volatile long born = System.currentTimeMillis();
+  private volatile long clockOffset = 400_000;
+  private volatile boolean down;
   private final Map<String, Run> running = new LinkedHashMap<>();
   private final Map<String, Long> endedRuns = new HashMap<>();
   private final List<End> ends = new ArrayList<>();
@@ -49,6 +50,8 @@
   private int used;
   private int mostUnacked;
   private volatile double slowness = 1;
+  private volatile double lateShare;
+  private volatile boolean unhealthy;
 
   Executor(
       Record record,
@@ -102,6 +105,40 @@
     return entry;
   }
 
+  /** Answers 503 to starts, and does nothing for them, while it is unhealthy. */
+  void unhealthy(boolean value) {
+    unhealthy = value;
+    record.line("executor " + id + " unhealthy " + value);
+  }
+
+  /** Crashes, and starts again under the same id after a while. */
+  void crash(long downMillis) throws InterruptedException {
+    down = true;
+    synchronized (this) {
+      record.line("executor " + id + " crashes with " + running.size() + " runs");
+      running.values().forEach(run -> run.entry.ended(Record.now(), "crashed"));
+      running.clear();
+      endedRuns.clear();
+      ends.clear();
+      used = 0;
+      token = 0;
+      lastEnd = 0;
+      leaseUntil = 0;
+      notifyAll();
+    }
+    Thread.sleep(downMillis);
+    clockOffset = 1000 - Record.now();
+    born = System.currentTimeMillis();
+    down = false;
+    record.line("executor " + id + " is back");
+  }
+
+  /** Leaves a share of the orders unanswered and carries them out late. */
+  void lateShare(double share) {
+    lateShare = share;
+    record.line("executor " + id + " late share " + share);
+  }
+
   void slowness(double factor) {
     slowness = factor;
     record.line("executor " + id + " works " + factor + " times as long");
@@ -135,6 +172,23 @@
     if (expected != null && !expected.equals(id)) {
       return new Http.Answer(421, null);
     }
+    if (down) {
+      return new Http.Answer(0, null);
+    }
+    if (Math.random() < lateShare && !path.equals("/-/hold")) {
+      long life = born;
+      Thread.sleep(2000 + (long) (4000 * Math.random()));
+      synchronized (this) {
+        if (!down && born == life) {
+          serve(path, body);
+        }
+      }
+      return new Http.Answer(0, null);
+    }
+    return serve(path, body);
+  }
+
+  private Http.Answer serve(String path, JsonNode body) throws InterruptedException {
     synchronized (this) {
       if (body.path("fencing_token").asLong() < token) {
         return new Http.Answer(409, clockAnswer().put("reason", "fence"));
@@ -164,6 +218,10 @@
     String task = body.path("task").asText();
     long number = body.path("run_id").asLong();
     int cpu = history.cpu(task);
+    if (unhealthy) {
+      record.line("start " + task + " run " + number + " at " + id + " -> 503");
+      return new Http.Answer(503, null);
+    }
     if (body.path("deadline_ms").asLong() <= clock()) {
       return new Http.Answer(409, clockAnswer().put("reason", "late"));
     }
@@ -218,13 +276,17 @@
         });
     long until = Record.now() + Math.min(2000, body.path("wait_ms").asLong());
     long last = lastEnd;
-    while (ends.isEmpty() && lastEnd == last && Record.now() < until) {
+    long life = born;
+    while (ends.isEmpty() && lastEnd == last && Record.now() < until && !down && born == life) {
       wait(Math.max(1, until - Record.now()));
     }
+    if (down || born != life) {
+      return new Http.Answer(0, null);
+    }
     ObjectNode answer = clockAnswer();
     ArrayNode runs = answer.putArray("running");
     for (Run run : running.values()) {
-      int percent = (int) Math.min(99, 100 * run.worked / run.work);
+      int percent = run.work > 0 ? (int) Math.min(99, 100 * run.worked / run.work) : 100;
       runs.addArray().add(run.task).add(run.number).add(run.checkpoint).add(percent).add(0);
     }
     ArrayNode finished = answer.putArray("finished");
@@ -264,7 +326,7 @@
           && Math.floor(run.worked / checkpointMillis) > Math.floor(before / checkpointMillis)) {
         run.checkpoint = saved(run);
       }
-      if (run.worked >= run.work) {
+      if (run.work > 0 && run.worked >= run.work) {
         end(run, "done");
       }
     }
--- a/review/standin-2/SwappedAnswers.java
+++ b/review/standin-2/SwappedAnswers.java
@@ -17,7 +17,7 @@
   private static final int CLIENTS_PER_VM = Integer.getInteger("clients", 10);
   private static final int JOBS_PER_CLIENT = 2;
   private static final long RESTART_MILLIS = 500;
-  private static final long CLIENT_GAP_MILLIS = 15;
+  private static final long CLIENT_GAP_MILLIS = 8;
 
   private final Record record;
   private final Deployment deployment;
