--- a/review/standin-2/Executor.java
+++ b/review/standin-2/Executor.java
@@ -19,6 +19,7 @@
  */
 final class Executor {
   private static final int ENDS_AT_A_TIME = 500;
+  private static final long SILENT_MILLIS = 10_000;
 
   private static final ScheduledExecutorService TIMER =
       Executors.newScheduledThreadPool(
@@ -39,6 +40,11 @@
   private volatile long born = System.currentTimeMillis();
   private volatile long clockOffset = 400_000;
   private volatile boolean down;
+  private volatile boolean dark;
+  private volatile boolean silentHolds;
+  private volatile long lastHoldMillis;
+  private int life;
+  private final Map<String, Integer> connections = new HashMap<>();
   private final Map<String, Run> running = new LinkedHashMap<>();
   private final Map<String, Long> endedRuns = new HashMap<>();
   private final List<End> ends = new ArrayList<>();
@@ -105,6 +111,29 @@
     return entry;
   }
 
+  /** Returns whether a hold that waits has just arrived and nothing runs. */
+  synchronized boolean holdJustArrived() {
+    return running.isEmpty() && ends.isEmpty() && Record.now() - lastHoldMillis <= 5;
+  }
+
+  synchronized long lastEnd() {
+    return lastEnd;
+  }
+
+  /** Is cut off, crashes behind the cut, and has started again under its id when the cut heals. */
+  void reborn(long cutMillis) throws InterruptedException {
+    dark = true;
+    silentHolds = true;
+    record.line("executor " + id + " is cut off and crashes; its last end has number " + lastEnd());
+    synchronized (this) {
+      life++;
+    }
+    crash(0);
+    Thread.sleep(cutMillis);
+    dark = false;
+    record.line("executor " + id + " is reached again");
+  }
+
   /** Answers 503 to starts, and does nothing for them, while it is unhealthy. */
   void unhealthy(boolean value) {
     unhealthy = value;
@@ -172,7 +201,18 @@
     if (expected != null && !expected.equals(id)) {
       return new Http.Answer(421, null);
     }
-    if (down) {
+    boolean stale;
+    synchronized (this) {
+      Integer opened =
+          connections.putIfAbsent(exchange.getRemoteAddress().toString(), life);
+      stale = opened != null && opened != life;
+    }
+    if (dark) {
+      Thread.sleep(SILENT_MILLIS);
+      return new Http.Answer(0, null);
+    }
+    if (down || stale) {
+      // A machine resets a connection that an earlier life of it had accepted.
       return new Http.Answer(0, null);
     }
     if (Math.random() < lateShare && !path.equals("/-/hold")) {
@@ -263,6 +303,9 @@
   }
 
   private Http.Answer hold(JsonNode body) throws InterruptedException {
+    if (body.path("wait_ms").asLong() > 0) {
+      lastHoldMillis = Record.now();
+    }
     extendLease(body);
     long acked = body.path("acked_seq").asLong();
     long now = Record.now();
@@ -281,6 +324,13 @@
       wait(Math.max(1, until - Record.now()));
     }
     if (down || born != life) {
+      if (silentHolds) {
+        // The connection of an earlier life stays silent.
+        long end = Record.now() + SILENT_MILLIS;
+        while (Record.now() < end) {
+          wait(100);
+        }
+      }
       return new Http.Answer(0, null);
     }
     ObjectNode answer = clockAnswer();
