--- a/review/standin-2/HiddenEnds.java
+++ b/review/standin-2/HiddenEnds.java
@@ -1,6 +1,5 @@
 package review2;
 
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.ExecutorService;
@@ -21,16 +20,8 @@
 
   private HiddenEnds() {}
 
-  public static void main(String[] args) throws Exception {
-    boolean trouble = !"0".equals(System.getenv("TROUBLE"));
-    int rc;
-    try (Record record = new Record(Path.of(args[0]));
-        Deployment deployment = new Deployment(record)) {
-      rc = run(record, deployment, trouble);
-      record.line("exit " + rc);
-    }
-    System.out.println("exit " + rc);
-    Runtime.getRuntime().halt(rc);
+  public static void main(String[] args) {
+    Case.main(args, (record, deployment, trouble) -> run(record, deployment, trouble));
   }
 
   private static int run(Record record, Deployment deployment, boolean trouble) throws Exception {
--- a/review/standin-2/SwappedAnswers.java
+++ b/review/standin-2/SwappedAnswers.java
@@ -2,7 +2,6 @@
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -29,16 +28,8 @@
     this.deployment = deployment;
   }
 
-  public static void main(String[] args) throws Exception {
-    boolean trouble = !"0".equals(System.getenv("TROUBLE"));
-    int rc;
-    try (Record record = new Record(Path.of(args[0]));
-        Deployment deployment = new Deployment(record)) {
-      rc = new SwappedAnswers(record, deployment).run(trouble);
-      record.line("exit " + rc);
-    }
-    System.out.println("exit " + rc);
-    Runtime.getRuntime().halt(rc);
+  public static void main(String[] args) {
+    Case.main(args, (record, deployment, trouble) -> new SwappedAnswers(record, deployment).run(trouble));
   }
 
   private int run(boolean trouble) throws Exception {
--- a/review/standin-2/Vms.java
+++ b/review/standin-2/Vms.java
@@ -181,7 +181,7 @@
   }
 
   @Override
-  public void close() {
+  public synchronized void close() {
     for (Vm vm : vms.values()) {
       vm.process.destroyForcibly();
     }
