--- a/review/10/run.sh
+++ b/review/7/run.sh
@@ -1,10 +1,10 @@
 #!/bin/sh
-# Exits with 1 if MIXED was broken, 0 if it held, 2 if the case could not run.
+# Exits with 1 if REFUSED was broken, 0 if it held, 2 if the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
-if [ ! -f target/masticspread.jar ] || [ ! -f target/review-2/review2/PendingCount.class ]; then
+if [ ! -f target/masticspread.jar ] || [ ! -f target/review-2/review2/SwappedAnswers.class ]; then
   echo "build the deploy file and run review/build-2.sh first"
   exit 2
 fi
 exec java -Xmx512m -Dsun.net.httpserver.nodelay=true \
   -Djdk.httpclient.allowRestrictedHeaders=host \
-  -cp target/review-2:target/masticspread.jar review2.PendingCount review/10/record.txt
+  -cp target/review-2:target/masticspread.jar review2.SwappedAnswers review/7/record.txt
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Builds the stand-ins of the cases 6 to 10, after the build of the deploy file.
+# Builds the stand-ins of the cases 6 to 9, after the build of the deploy file.
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
