--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -5,6 +5,11 @@
   echo "build the deploy file and run review/build-2.sh first"
   exit 2
 fi
-exec java -Xmx512m -Dsun.net.httpserver.nodelay=true \
+java -Xmx512m -Dsun.net.httpserver.nodelay=true \
   -Djdk.httpclient.allowRestrictedHeaders=host \
   -cp target/review-2:target/masticspread.jar review2.HiddenEnds review/6/record.txt
+case $? in
+  40) exit 0 ;;
+  41) exit 1 ;;
+  *) exit 2 ;;
+esac
--- a/review/standin-2/Case.java
+++ b/review/standin-2/Case.java
@@ -6,6 +6,9 @@
 final class Case {
   private static final int NOT_RUN = 2;
 
+  /** The exit status of a held rule; 1 more for a broken one. The JVM itself ends with 1. */
+  private static final int STATUS_BASE = 40;
+
   /** A case may take 120 s. */
   private static final long LIMIT_MILLIS = 115_000;
 
@@ -39,7 +42,7 @@
       System.out.println("the case could not run: " + e);
     }
     System.out.println("exit " + rc);
-    Runtime.getRuntime().halt(rc);
+    Runtime.getRuntime().halt(STATUS_BASE + rc);
   }
 
   private static void endInTime(Record record, Deployment deployment) {
@@ -54,7 +57,7 @@
               record.line("the time of the case is up");
               deployment.close();
               System.out.println("exit " + NOT_RUN);
-              Runtime.getRuntime().halt(NOT_RUN);
+              Runtime.getRuntime().halt(STATUS_BASE + NOT_RUN);
             });
     thread.setDaemon(true);
     thread.start();
--- a/review/standin-2/SwappedAnswers.java
+++ b/review/standin-2/SwappedAnswers.java
@@ -12,11 +12,11 @@
  * the count of that route meanwhile hand in jobs over the same connections.
  */
 public final class SwappedAnswers {
-  private static final String DROPPED = "/idle/";
-  private static final int CLIENTS_PER_VM = Integer.getInteger("clients", 10);
+  private static final int ROUNDS = 2;
+  private static final int CLIENTS_PER_VM = Integer.getInteger("clients", 8);
   private static final int JOBS_PER_CLIENT = 2;
   private static final long RESTART_MILLIS = 500;
-  private static final long CLIENT_GAP_MILLIS = 8;
+  private static final long CLIENT_GAP_MILLIS = 4;
 
   private final Record record;
   private final Deployment deployment;
@@ -36,25 +36,53 @@
     for (int i = 1; i <= 4; i++) {
       deployment.executor("e-" + i, 32_000, 0);
     }
-    deployment.configure(1, 4, 60_000, List.of(Deployment.PREFIX, DROPPED));
-    deployment.vms(3);
-    if (!deployment.vms.awaitReady(30_000)) {
-      return 2;
+    deployment.configure(1, 4, 60_000, prefixes(1));
+    deployment.vms(6);
+    for (int round = 1; round <= ROUNDS; round++) {
+      if (!deployment.vms.awaitReady(30_000)) {
+        return 2;
+      }
+      Thread.sleep(3000);
+      playRound(round, trouble);
     }
     Thread.sleep(3000);
+    int broken = 0;
+    for (Map.Entry<String, String> job : answers.entrySet()) {
+      String status = job.getValue();
+      boolean rejected =
+          status.startsWith("404") || status.startsWith("429") || status.startsWith("503");
+      long started =
+          deployment.history.all().stream()
+              .filter(entry -> entry.task.startsWith(job.getKey() + "."))
+              .count();
+      if (rejected && started > 0) {
+        broken++;
+        record.line("REFUSED job " + job.getKey() + " was answered " + status
+            + " and tasks started: " + started);
+      }
+    }
+    wrong.forEach(text -> record.line("foreign answer: " + text));
+    deployment.history.all().forEach(entry -> record.line("run " + entry));
+    String result =
+        "REFUSED broken for " + broken + " of " + answers.size() + " jobs, answers to another"
+            + " request: " + wrong.size();
+    record.line(result);
+    System.out.println(result);
+    return broken > 0 ? 1 : 0;
+  }
+
+  /** Kills the leader, and drops the route of the round shortly after. */
+  private void playRound(int round, boolean trouble) throws Exception {
     List<String> names = deployment.vms.all().stream().map(vm -> vm.name).toList();
     String leader = deployment.store.leader(names);
-    record.line("leader " + leader);
+    record.line("round " + round + ", leader " + leader);
     List<Thread> clients = new ArrayList<>();
-    int number = 0;
     for (int i = 0; i < CLIENTS_PER_VM; i++) {
       for (Vms.Vm vm : deployment.vms.all()) {
-        if (vm.name.equals(leader)) {
-          continue;
+        if (!vm.name.equals(leader)) {
+          int client = 1000 * round + clients.size();
+          clients.add(new Thread(() -> client(client, vm, dropped(round))));
         }
-        int client = ++number;
-        Thread thread = new Thread(() -> client(client, vm));
-        clients.add(thread);
       }
     }
     Vms.Vm killed =
@@ -66,8 +94,7 @@
       thread.start();
       Thread.sleep(CLIENT_GAP_MILLIS);
     }
-    
-    deployment.configure(2, 4, 60_000, List.of(Deployment.PREFIX));
+    deployment.configure(round + 1, 4, 60_000, prefixes(round + 1));
     if (trouble) {
       Thread.sleep(RESTART_MILLIS);
       deployment.vms.launch(killed);
@@ -75,35 +102,25 @@
     for (Thread thread : clients) {
       thread.join();
     }
-    Thread.sleep(3000);
-    int broken = 0;
-    for (Map.Entry<String, String> job : answers.entrySet()) {
-      String status = job.getValue();
-      boolean rejected =
-          status.startsWith("404") || status.startsWith("429") || status.startsWith("503");
-      long started =
-          deployment.history.all().stream()
-              .filter(entry -> entry.task.startsWith(job.getKey() + "."))
-              .count();
-      if (rejected && started > 0) {
-        broken++;
-        record.line("REFUSED job " + job.getKey() + " was answered " + status
-            + " and tasks started: " + started);
-      }
+  }
+
+  /** Returns the route that is dropped in a round. */
+  private static String dropped(int round) {
+    return "/idle-" + round + "/";
+  }
+
+  /** Returns the routes of a version: the one for jobs, and those that later rounds drop. */
+  private static List<String> prefixes(int version) {
+    List<String> prefixes = new ArrayList<>(List.of(Deployment.PREFIX));
+    for (int round = version; round <= ROUNDS; round++) {
+      prefixes.add(dropped(round));
     }
-    wrong.forEach(text -> record.line("foreign answer: " + text));
-    deployment.history.all().forEach(entry -> record.line("run " + entry));
-    String result =
-        "REFUSED broken for " + broken + " of " + answers.size() + " jobs, answers to another"
-            + " request: " + wrong.size();
-    record.line(result);
-    System.out.println(result);
-    return broken > 0 ? 1 : 0;
+    return prefixes;
   }
 
-  private void client(int client, Vms.Vm vm) {
+  private void client(int client, Vms.Vm vm, String dropped) {
     try (RawClient connection = new RawClient(vm.front)) {
-      call(client, connection, "GET", DROPPED, "");
+      call(client, connection, "GET", dropped, "");
       for (int i = 0; i < JOBS_PER_CLIENT; i++) {
         String id = String.format("%08x%08x", client, i);
         deployment.history.job(id, 200, false);
