Gateway: one answer and one retry for all callers of a count

Cause: on an unknown queue, JobCountCache replied to the waiting callers and left them in its list, while retries were armed for the same entry. Each caller that came during the delay of a retry asked at once, failed, and armed a retry of its own, so one entry had as many retries as callers, and each of them replied again.

Waiters leave the list before they get their reply, and one chain of attempts serves an entry from its first waiter to its last, also through the delays.

--- a/masticspread-cell/src/main/java/org/masticspread/cell/gateway/JobCountCache.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/gateway/JobCountCache.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import org.masticspread.cell.journal.LeaderRecord;
 import org.masticspread.cell.lead.Vm;
 import org.masticspread.cell.lead.VmPorts;
@@ -32,6 +33,8 @@
   private static final Duration RETRY_DELAY = Duration.ofMillis(100);
   private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
 
+  private static final long NEVER = Long.MIN_VALUE / 2;
+
   private final VmPorts ports;
   private final Vm vm;
   private final Map<String, CachedCount> counts = new HashMap<>();
@@ -44,8 +47,22 @@
   private static final class CachedCount {
     private final List<Waiter> waiters = new ArrayList<>();
     private CellReply count;
-    private long countedMillis = Long.MIN_VALUE / 2;
+    private long countedMillis = NEVER;
+
+    /** Whether the leader is being asked, or will be after a delay. */
     private boolean asking;
+
+    void forgetCount() {
+      count = null;
+      countedMillis = NEVER;
+    }
+
+    /** Removes the waiters that a reply applies to, and replies to each of them. */
+    void reply(Predicate<Waiter> to, CellReply answer) {
+      List<Waiter> answered = waiters.stream().filter(to).toList();
+      waiters.removeAll(answered);
+      answered.forEach(waiter -> waiter.reply.accept(answer));
+    }
   }
 
   private record Waiter(long deadlineMillis, Consumer<CellReply> reply) {}
@@ -55,7 +72,7 @@
    *
    * @param call the call
    * @param timeout how long the caller waits at most
-   * @param reply receives the count or a refusal
+   * @param reply receives the count or a refusal, exactly once
    */
   void answer(CellCall call, Duration timeout, Consumer<CellReply> reply) {
     long now = ports.clock().millis();
@@ -65,13 +82,13 @@
       return;
     }
     cached.waiters.add(new Waiter(now + timeout.toMillis(), reply));
-    ask(call, cached);
+    if (!cached.asking) {
+      ask(call, cached);
+    }
   }
 
+  /** Asks the leader, again and again until no caller waits. */
   private void ask(CellCall call, CachedCount cached) {
-    if (cached.asking) {
-      return;
-    }
     cached.asking = true;
     long sent = ports.clock().millis();
     Optional<LeaderRecord> leader = vm.leader();
@@ -90,30 +107,33 @@
   }
 
   private void answered(CellCall call, CachedCount cached, long sentMillis, Object answer) {
-    cached.asking = false;
     if (answer instanceof CellReply reply && reply.outcome() == Outcome.COUNTED) {
       cached.count = reply;
       cached.countedMillis = sentMillis;
-      List<Waiter> waiters = List.copyOf(cached.waiters);
-      cached.waiters.clear();
-      waiters.forEach(waiter -> waiter.reply.accept(reply));
-      return;
-    }
-    if (answer instanceof CellReply reply && reply.outcome() == Outcome.UNKNOWN_QUEUE) {
-      counts.remove(call.queue());
-      cached.waiters.forEach(waiter -> waiter.reply.accept(reply));
-      return;
+      cached.reply(waiter -> true, reply);
+    } else if (answer instanceof CellReply reply && reply.outcome() == Outcome.UNKNOWN_QUEUE) {
+      cached.forgetCount();
+      cached.reply(waiter -> true, reply);
+    } else {
+      answerStale(cached);
     }
-    answerStale(cached);
     if (!cached.waiters.isEmpty()) {
       ports.timers().after(RETRY_DELAY, () -> ask(call, cached));
+      return;
+    }
+    cached.asking = false;
+    if (cached.count == null) {
+      counts.remove(call.queue());
     }
   }
 
   /** Answers with a stale count while it is not too old; otherwise refuses expired waiters. */
   private void answerStale(CachedCount cached) {
     long now = ports.clock().millis();
-    boolean usable = now - cached.countedMillis <= MAX_STALE_AGE.toMillis();
+    if (now - cached.countedMillis <= MAX_STALE_AGE.toMillis()) {
+      cached.reply(waiter -> true, cached.count);
+      return;
+    }
     CellReply refusal =
         new CellReply(
             Outcome.REFUSED,
@@ -121,11 +141,6 @@
             0,
             (int) RETRY_AFTER.toMillis(),
             "no leader is available to count the jobs");
-    for (Waiter waiter : List.copyOf(cached.waiters)) {
-      if (usable || now >= waiter.deadlineMillis) {
-        cached.waiters.remove(waiter);
-        waiter.reply.accept(usable ? cached.count : refusal);
-      }
-    }
+    cached.reply(waiter -> now >= waiter.deadlineMillis, refusal);
   }
 }
