Gateway: a count refused by an older configuration is asked again for newer callers

A caller that knows a queue from a newer configuration could be told 404, when it joined a count that was asked for a caller of an older one (CONFIG). Found while looking for other answers that reach a request that they are not for.

Cause: the cache asked the leader with the call of whoever came first and replied to all. Evidence: JobCountTest, should_count_for_a_caller_that_knows_the_queue_ from_a_newer_configuration, failed before with UNKNOWN_QUEUE for both callers.

The cache now asks with the newest of the waiting calls, and an unknown queue answers only those whose configuration is no newer than that of the call asked.

--- a/masticspread-cell/src/main/java/org/masticspread/cell/gateway/JobCountCache.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/gateway/JobCountCache.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -65,7 +66,7 @@
     }
   }
 
-  private record Waiter(long deadlineMillis, Consumer<CellReply> reply) {}
+  private record Waiter(CellCall call, long deadlineMillis, Consumer<CellReply> reply) {}
 
   /**
    * Answers a call for the number of waiting jobs.
@@ -81,15 +82,16 @@
       reply.accept(cached.count);
       return;
     }
-    cached.waiters.add(new Waiter(now + timeout.toMillis(), reply));
+    cached.waiters.add(new Waiter(call, now + timeout.toMillis(), reply));
     if (!cached.asking) {
-      ask(call, cached);
+      ask(cached);
     }
   }
 
   /** Asks the leader, again and again until no caller waits. */
-  private void ask(CellCall call, CachedCount cached) {
+  private void ask(CachedCount cached) {
     cached.asking = true;
+    CellCall call = newestCall(cached);
     long sent = ports.clock().millis();
     Optional<LeaderRecord> leader = vm.leader();
     if (vm.cell().isPresent()) {
@@ -106,19 +108,30 @@
     }
   }
 
+  /** Returns the waiting call of the newest configuration. */
+  private static CellCall newestCall(CachedCount cached) {
+    return cached.waiters.stream()
+        .map(Waiter::call)
+        .max(Comparator.comparingLong(CellCall::configVersion))
+        .orElseThrow();
+  }
+
   private void answered(CellCall call, CachedCount cached, long sentMillis, Object answer) {
+    Duration retryDelay = RETRY_DELAY;
     if (answer instanceof CellReply reply && reply.outcome() == Outcome.COUNTED) {
       cached.count = reply;
       cached.countedMillis = sentMillis;
       cached.reply(waiter -> true, reply);
     } else if (answer instanceof CellReply reply && reply.outcome() == Outcome.UNKNOWN_QUEUE) {
       cached.forgetCount();
-      cached.reply(waiter -> true, reply);
+      // Callers with a newer configuration may know the queue from it.
+      cached.reply(waiter -> waiter.call.configVersion() <= call.configVersion(), reply);
+      retryDelay = Duration.ZERO;
     } else {
       answerStale(cached);
     }
     if (!cached.waiters.isEmpty()) {
-      ports.timers().after(RETRY_DELAY, () -> ask(call, cached));
+      ports.timers().after(retryDelay, () -> ask(cached));
       return;
     }
     cached.asking = false;
--- a/masticspread-cell/src/test/java/org/masticspread/cell/gateway/JobCountTest.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/gateway/JobCountTest.java
@@ -75,6 +75,23 @@
           .extracting(CellReply::outcome)
           .containsExactly(Outcome.UNKNOWN_QUEUE);
     }
+
+    /** Guards against an answer by an older configuration than the one that a caller used. */
+    @Test
+    void should_count_for_a_caller_that_knows_the_queue_from_a_newer_configuration() {
+      // GIVEN
+      cluster.configure(Jobs.config(2, CHECKS));
+      pass(1000);
+
+      // WHEN
+      List<CellReply> older = count(1);
+      List<CellReply> newer = count(3);
+      pass(1000);
+
+      // THEN
+      assertThat(older).extracting(CellReply::outcome).containsExactly(Outcome.UNKNOWN_QUEUE);
+      assertThat(newer).extracting(CellReply::outcome).containsExactly(Outcome.COUNTED);
+    }
   }
 
   @Nested
