Cell: a full list of ends proves no run's absence

Cause: a worker lists at most 500 ends until they are acknowledged, and ends are acknowledged once they are durable. While the store is down the list does not move on, and the handler took a run in neither list as over ("vanished"), so that its task waited again.

A view now says whether more runs may have ended than it lists. Then nothing is concluded from a run's absence, the worker gets no further tasks, whose ends nobody could see either, and its runs do not count as stalled. The fixtures list 500 ends.

Looked for elsewhere: pages of tables are read to their end and followed from the oldest version of their pages; the advisor is asked for at most 100 workers a call, and what a call does not name is not concluded from; feeds have no limit.

--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Fleet.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Fleet.java
@@ -124,6 +124,10 @@
     if (!worker.hasAnswered || worker.unregistered() || worker.entry.draining()) {
       return false;
     }
+    if (worker.mayHaveMoreEnded) {
+      // The ends of further tasks would not be listed before the present ones are durable.
+      return false;
+    }
     if (now - worker.lastAnswerMillis > MAX_SILENCE.toMillis() || worker.failedRenewals > 0) {
       return false;
     }
--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/LeaseRenewer.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/LeaseRenewer.java
@@ -220,6 +220,10 @@
 
   /** Stops the stalled runs of a worker, and quarantines the worker. */
   void stopStalledRuns(Worker worker) {
+    if (worker.mayHaveMoreEnded) {
+      // A run that is not listed may have ended.
+      return;
+    }
     for (Run run : List.copyOf(worker.runs.values())) {
       boolean stalled =
           run.phase == Run.Phase.RUNNING
--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Worker.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Worker.java
@@ -67,6 +67,9 @@
   /** The number of the last run end that was reported. */
   long seenEnd;
 
+  /** Whether runs may have ended there that its latest answer did not list. */
+  boolean mayHaveMoreEnded;
+
   /** The number of the last run end that is durable, which renewals acknowledge. */
   long acknowledgedEnd;
 
--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/WorkerReportHandler.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/WorkerReportHandler.java
@@ -62,6 +62,7 @@
     worker.updateClock(view.clockMillis(), now());
     worker.lastAnswerMillis = now();
     worker.lastRenewalSentMillis = sentMillis;
+    updateMoreEnded(worker, view);
     handleEnds(worker, view);
     handleRunning(worker, view, sentMillis);
   }
@@ -92,6 +93,26 @@
     worker.incarnationSinceMillis = now();
   }
 
+  private void updateMoreEnded(Worker worker, WorkerView view) {
+    if (worker.mayHaveMoreEnded == view.mayHaveMoreEnded()) {
+      return;
+    }
+    worker.mayHaveMoreEnded = view.mayHaveMoreEnded();
+    ports
+        .log()
+        .event(
+            "worker-ends-unlisted",
+            worker.id(),
+            "unlisted",
+            worker.mayHaveMoreEnded,
+            "listed",
+            view.ended().size(),
+            "acknowledged",
+            worker.acknowledgedEnd,
+            "runs",
+            worker.runs.size());
+  }
+
   private void handleEnds(Worker worker, WorkerView view) {
     List<Ended> newEnds = new ArrayList<>();
     for (Ended end : view.ended()) {
@@ -234,6 +255,10 @@
       }
       updateRun(run, row);
     }
+    if (view.mayHaveMoreEnded()) {
+      // A run in neither list may have succeeded.
+      return;
+    }
     for (Run run : List.copyOf(worker.runs.values())) {
       if (!listed.contains(Worker.key(run.taskName, run.number))) {
         handleUnlisted(run, view, sentMillis);
@@ -290,8 +315,9 @@
   }
 
   /**
-   * Handles a run that a worker does not list. The run is over if its start or stop was confirmed
-   * before the list was requested, or if the worker would by now refuse its start as too late.
+   * Handles a run that a worker does not list, though it lists all runs. The run is over if its
+   * start or stop was confirmed before the list was requested, or if the worker would by now refuse
+   * its start as too late.
    */
   private void handleUnlisted(Run run, WorkerView view, long sentMillis) {
     if (run.stopConfirmedMillis >= 0) {
--- a/masticspread-cell/src/main/java/org/masticspread/cell/port/WorkerView.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/port/WorkerView.java
@@ -8,10 +8,17 @@
  * @param clockMillis its monotonic clock
  * @param incarnation the start time of this incarnation; 0 if unknown
  * @param running the running tasks
- * @param ended the runs that ended and were not yet acknowledged, by ascending number
+ * @param ended the runs that ended and were not yet acknowledged, by ascending number; the first
+ *     ones if there are many
+ * @param mayHaveMoreEnded whether runs may have ended that are not listed, so that a run in neither
+ *     list may have succeeded
  */
 public record WorkerView(
-    long clockMillis, long incarnation, List<Running> running, List<Ended> ended) {
+    long clockMillis,
+    long incarnation,
+    List<Running> running,
+    List<Ended> ended,
+    boolean mayHaveMoreEnded) {
   /** Copies the lists. */
   public WorkerView {
     running = List.copyOf(running);
--- a/masticspread-cell/src/test/java/org/masticspread/cell/testing/FakeWorkers.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/testing/FakeWorkers.java
@@ -21,13 +21,15 @@
 
 /**
  * In-memory workers that follow the platform's rules: fencing tokens, leases, increasing run
- * numbers, and ended runs that are reported until they are acknowledged. They check that no task
- * runs twice and that no worker is overcommitted; {@link #violations} lists what was violated.
+ * numbers, and ended runs that are reported until they are acknowledged, 500 at a time. They check
+ * that no task runs twice and that no worker is overcommitted; {@link #violations} lists what was
+ * violated.
  */
 public final class FakeWorkers implements WorkerPort {
   private static final Duration LATENCY = Duration.ofMillis(1);
   private static final Duration TIMEOUT = Duration.ofMillis(500);
   private static final Duration GANG_TIMEOUT = Duration.ofSeconds(3);
+  private static final int MAX_ENDS_PER_ANSWER = 500;
 
   private final VirtualTime time;
   private final Map<String, State> workers = new LinkedHashMap<>();
@@ -519,8 +521,10 @@
         state.running.values().stream()
             .map(run -> new Running(run.task, run.run, "", percent(run), 0))
             .toList();
+    List<Ended> ended = state.ended.stream().limit(MAX_ENDS_PER_ANSWER).toList();
+    boolean mayHaveMoreEnded = ended.size() >= MAX_ENDS_PER_ANSWER;
     WorkerView view =
-        new WorkerView(clockMillis(state), state.incarnation, running, List.copyOf(state.ended));
+        new WorkerView(clockMillis(state), state.incarnation, running, ended, mayHaveMoreEnded);
     return new RenewResult(Outcome.DONE, Optional.of(view));
   }
 
