Cell: a new leader waits for all ends of a worker, not for its first answer

Cause: a new leader let tasks of earlier epochs wait for the first answer of each worker.

Whether a worker has answered (and so refuses the former leader) and whether it has reported all its runs are two facts now; the second is what tasks of earlier epochs wait for, until the worker's lease has expired.

--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Fleet.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Fleet.java
@@ -181,7 +181,7 @@
     }
   }
 
-  /** Returns whether a worker that has not answered yet may still run tasks of an earlier epoch. */
+  /** Returns whether tasks of an earlier epoch may run or have ended unreported on a worker. */
   boolean mayHaveUnreportedRuns() {
     long now = clock.millis();
     return workers.values().stream().anyMatch(w -> w.mayHaveUnreportedRuns(now));
--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Worker.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Worker.java
@@ -47,6 +47,9 @@
   /** Whether it has answered in this epoch, and so refuses orders of earlier ones. */
   boolean hasAnswered;
 
+  /** Whether an answer in this epoch listed all that ran or had ended there. */
+  boolean hasReportedAllRuns;
+
   long lastAnswerMillis = -1;
 
   /** When the latest answered renewal was sent. */
@@ -102,7 +105,7 @@
   /** The number of the latest listing, so that only that one takes effect. */
   long listingNumber;
 
-  /** Whether it may run tasks of earlier epochs, if it has not answered in this epoch. */
+  /** Whether it may run tasks of earlier epochs, if it has not reported all runs in this epoch. */
   boolean mayHoldInheritedLease;
 
   Worker(WorkerEntry entry, SpeedEstimator speeds, InheritedLeases inheritedLeases) {
@@ -111,9 +114,9 @@
     this.inheritedLeases = inheritedLeases;
   }
 
-  /** Returns whether it has not answered yet and may still run tasks of earlier epochs. */
+  /** Returns whether runs of earlier epochs may be active or have ended there unreported. */
   boolean mayHaveUnreportedRuns(long nowMillis) {
-    return !hasAnswered && mayHoldInheritedLease && nowMillis < inheritedLeases.endMillis();
+    return !hasReportedAllRuns && mayHoldInheritedLease && nowMillis < leaseExpiryMillis();
   }
 
   /** Returns the forecast made in a pass, or null if the pass has made none. */
--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/WorkerReportHandler.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/WorkerReportHandler.java
@@ -63,6 +63,7 @@
     worker.lastAnswerMillis = now();
     worker.lastRenewalSentMillis = sentMillis;
     updateMoreEnded(worker, view);
+    worker.hasReportedAllRuns |= !view.mayHaveMoreEnded();
     handleEnds(worker, view);
     handleRunning(worker, view, sentMillis);
   }
--- a/masticspread-cell/src/test/java/org/masticspread/cell/engine/UnlistedEndsTest.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/engine/UnlistedEndsTest.java
@@ -9,6 +9,7 @@
 import org.junit.jupiter.api.Test;
 import org.masticspread.cell.testing.CellFixture;
 import org.masticspread.cell.testing.FakeTable.CommitOutcome;
+import org.masticspread.cell.testing.FakeWorkers.State;
 import org.masticspread.cell.testing.Jobs;
 import org.masticspread.model.cell.JobState;
 import org.masticspread.model.resource.ResourceVector;
@@ -90,4 +91,27 @@
       assertThat(fixture.workers.starts()).hasSize(starts).hasSizeLessThan(JOBS * TASKS);
     }
   }
+
+  @Nested
+  class NewLeader {
+    /** Guards against a leader that takes the first answer for all that ended on a worker. */
+    @Test
+    void should_start_no_task_again_that_ended_under_the_former_leader() {
+      // GIVEN
+      State idle = fixture.workers.add("w3", "r1", 32_000);
+      idle.silent = true;
+      fixture.cell.register(idle.entry);
+      pass(50);
+      fixture.table.always(CommitOutcome.SILENT);
+      pass(2500);
+
+      // WHEN
+      fixture.table.always(CommitOutcome.DONE);
+      idle.silent = false;
+      fixture.lead();
+
+      // THEN
+      assertAllSucceed();
+    }
+  }
 }
