Cell: the next leader knows of leases that calls for a former incarnation granted

Cause: only the leader that saw the change knew that the lease of the new incarnation may last for the longest lease. The next one counted the horizon of its predecessor's regular leases, on whatever incarnation it found.

The list of used workers, durable before a worker gets work, names the incarnation, and until when, on the worker's clock, such a lease may last. A new incarnation gets no work before that row is durable; when the time has passed the row is written again, so that a later leader does not wait for a change of long ago. If a leader finds another incarnation than the listed one, it expects the longest lease from the first answer on.

--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Cell.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Cell.java
@@ -151,7 +151,7 @@
     this.fleet = new Fleet(ports.clock(), ports.log(), inheritedLeases);
     this.leadershipProof = new LeadershipProof(ports, fleet);
     this.usedWorkers = new UsedWorkers(ports, fleet, this, inheritedLeases);
-    this.incarnations = new Incarnations(ports, fleet, this, inheritedLeases);
+    this.incarnations = new Incarnations(ports, fleet, this, usedWorkers, inheritedLeases);
     this.jobs = new JobStore(ports);
     this.launcher = new Launcher(ports, fleet, this);
     WorkerReportHandler reportHandler = new WorkerReportHandler(ports, jobs, fleet, this, launcher);
@@ -781,6 +781,7 @@
     for (Worker worker : List.copyOf(fleet.all())) {
       leaseRenewer.releaseExpiredRuns(worker);
       leaseRenewer.stopStalledRuns(worker);
+      usedWorkers.removeExpiredStrayLease(worker);
       usedWorkers.unlistIfUnused(worker);
     }
   }
--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Incarnations.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Incarnations.java
@@ -16,12 +16,19 @@
   private final CellPorts ports;
   private final Fleet fleet;
   private final Cell cell;
+  private final UsedWorkers usedWorkers;
   private final InheritedLeases inheritedLeases;
 
-  Incarnations(CellPorts ports, Fleet fleet, Cell cell, InheritedLeases inheritedLeases) {
+  Incarnations(
+      CellPorts ports,
+      Fleet fleet,
+      Cell cell,
+      UsedWorkers usedWorkers,
+      InheritedLeases inheritedLeases) {
     this.ports = ports;
     this.fleet = fleet;
     this.cell = cell;
+    this.usedWorkers = usedWorkers;
     this.inheritedLeases = inheritedLeases;
   }
 
@@ -130,17 +137,23 @@
     worker.acknowledgedEnd = 0;
     worker.deliveredAcknowledgement = 0;
     enter(worker, view);
-    // A call for an earlier incarnation may have granted the longest lease by now.
-    worker.leaseUntilMillis = view.clockMillis() + ports.limits().maxLease().toMillis();
+    expectStrayLease(worker, view);
+    usedWorkers.ensureListed(worker);
   }
 
   /** Handles the first answer in this epoch, by which the worker refuses former leaders. */
   private void confirmFirst(Worker worker, WorkerView view) {
     worker.hasAnswered = true;
     enter(worker, view);
-    if (worker.mayHoldInheritedLease) {
-      worker.leaseUntilMillis = view.clockMillis() + LeadershipProof.LEASE_HORIZON.toMillis();
+    if (worker.inheritedFromOther(view.incarnation())) {
+      expectStrayLease(worker, view);
+    } else if (worker.mayHoldInheritedLease) {
+      worker.strayLeaseUntilMillis =
+          worker.inheritedListing.map(used -> used.strayLeaseUntilMillis()).orElse(0L);
+      long horizon = view.clockMillis() + LeadershipProof.LEASE_HORIZON.toMillis();
+      worker.leaseUntilMillis = Math.max(horizon, worker.strayLeaseUntilMillis);
     }
+    usedWorkers.ensureListed(worker);
     ports
         .log()
         .event(
@@ -151,7 +164,11 @@
             "ended",
             view.ended().size(),
             "epoch",
-            ports.term().epoch());
+            ports.term().epoch(),
+            "life",
+            view.incarnation(),
+            "strayLeaseUntil",
+            worker.strayLeaseUntilMillis);
   }
 
   private void enter(Worker worker, WorkerView view) {
@@ -159,6 +176,13 @@
     worker.incarnationSinceMillis = now();
   }
 
+  /** Expects the longest lease that a call for an earlier incarnation can have granted by now. */
+  private void expectStrayLease(Worker worker, WorkerView view) {
+    long until = view.clockMillis() + ports.limits().maxLease().toMillis();
+    worker.leaseUntilMillis = until;
+    worker.strayLeaseUntilMillis = until;
+  }
+
   private long now() {
     return ports.clock().millis();
   }
--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/InheritedLeases.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/InheritedLeases.java
@@ -22,6 +22,7 @@
 
   private long startMillis;
   private long endMillis = UNKNOWN;
+  private long strayEndMillis = UNKNOWN;
 
   InheritedLeases(CellPorts ports) {
     this.ports = ports;
@@ -38,9 +39,13 @@
     update();
   }
 
-  /** Returns when they have expired on the cell's clock; far in the future while unknown. */
-  long endMillis() {
-    return endMillis;
+  /**
+   * Returns when they have expired on the cell's clock; far in the future while unknown.
+   *
+   * @param stray whether a call for an earlier incarnation of the worker may have granted the lease
+   */
+  long endMillis(boolean stray) {
+    return stray ? strayEndMillis : endMillis;
   }
 
   /** Returns whether it is known when they expire. */
@@ -76,6 +81,7 @@
         (long) (LeadershipProof.LEASE_HORIZON.toMillis() * Cell.CLOCK_DRIFT_FACTOR)
             + 2 * Cell.LEASE_EXPIRY_MARGIN.toMillis();
     endMillis = ports.clock().millis() + horizon;
+    strayEndMillis = Math.max(endMillis, ports.clock().millis() + longestLeaseMillis());
     long silent = used.stream().filter(worker -> !worker.hasAnswered).count();
     ports
         .log()
--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/LeadershipProof.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/LeadershipProof.java
@@ -143,8 +143,8 @@
     int answered = 0;
     long[] sentMillis = new long[fleet.all().size()];
     for (Worker worker : fleet.all()) {
-      boolean stored = !worker.listedAddress.isEmpty();
-      boolean requested = !worker.requestedListedAddress.isEmpty();
+      boolean stored = worker.listing.isPresent();
+      boolean requested = worker.requestedListing.isPresent();
       if (!stored && !requested) {
         continue;
       }
--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/LeaseRenewer.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/LeaseRenewer.java
@@ -177,8 +177,8 @@
     }
     if (worker.unregistered()
         && now() - worker.unregisteredSinceMillis > DROP_AFTER.toMillis()
-        && worker.requestedListedAddress.isEmpty()
-        && worker.listedAddress.isEmpty()
+        && worker.requestedListing.isEmpty()
+        && worker.listing.isEmpty()
         && worker.runs.isEmpty()) {
       ports.log().event("worker-dropped", worker.id());
       fleet.remove(worker);
--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/UsedWorkers.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/UsedWorkers.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import org.masticspread.cell.journal.Rows;
 import org.masticspread.cell.journal.UsedWorkersRecord;
 import org.masticspread.cell.journal.UsedWorkersRecord.Used;
@@ -40,8 +41,9 @@
         .find(used.id())
         .ifPresent(
             worker -> {
-              worker.requestedListedAddress = used.address();
-              worker.listedAddress = used.address();
+              worker.requestedListing = Optional.of(used);
+              worker.listing = Optional.of(used);
+              worker.inheritedListing = Optional.of(used);
               inheritedLeases.add(worker);
             });
     return missing;
@@ -49,7 +51,7 @@
 
   /** Returns whether an earlier leader may have used a worker. */
   boolean mayBeUsed(Worker worker) {
-    return !started || !worker.requestedListedAddress.isEmpty();
+    return !started || worker.requestedListing.isPresent();
   }
 
   /** Lists all workers that are not listed yet, and starts listing new ones. */
@@ -58,20 +60,20 @@
     fleet.all().forEach(this::ensureListed);
   }
 
-  /** Lists a worker under its current address, unless it is listed or about to be. */
+  /** Lists a worker as it is now known, unless it is so listed or about to be. */
   void ensureListed(Worker worker) {
-    String address = worker.entry.address();
-    if (!started || address.equals(worker.requestedListedAddress)) {
+    Used current = current(worker);
+    if (!started
+        || worker.requestedListing.filter(used -> sameListing(used, current)).isPresent()) {
       return;
     }
-    boolean removalPending = worker.requestedListedAddress.isEmpty();
-    if (removalPending) {
+    if (worker.requestedListing.isEmpty()) {
       // The removal may be durable before the new entry is.
-      worker.listedAddress = "";
+      worker.listing = Optional.empty();
     }
     long listingNumber = ++lastListingNumber;
     worker.listingNumber = listingNumber;
-    worker.requestedListedAddress = address;
+    worker.requestedListing = Optional.of(current);
     writeRow(worker.id());
     ports
         .journal()
@@ -80,31 +82,69 @@
               if (worker.listingNumber != listingNumber) {
                 return;
               }
-              worker.listedAddress = address;
-              ports.log().event("worker-listed", worker.id(), "epoch", ports.term().epoch());
+              worker.listing = Optional.of(current);
+              ports
+                  .log()
+                  .event(
+                      "worker-listed",
+                      worker.id(),
+                      "epoch",
+                      ports.term().epoch(),
+                      "life",
+                      current.incarnation(),
+                      "strayLeaseUntil",
+                      current.strayLeaseUntilMillis());
               cell.requestPass();
             });
   }
 
+  /** Returns how a worker is to be listed; a change of its incarnation once it is confirmed. */
+  private static Used current(Worker worker) {
+    long listed = worker.requestedListing.map(Used::incarnation).orElse(worker.entry.incarnation());
+    long incarnation = worker.incarnation == 0 ? listed : worker.incarnation;
+    return new Used(
+        worker.id(),
+        worker.entry.address(),
+        worker.capacity(),
+        incarnation,
+        worker.strayLeaseUntilMillis);
+  }
+
+  /** Returns whether two listings differ at most in the capacity. */
+  private static boolean sameListing(Used one, Used other) {
+    return one.address().equals(other.address())
+        && one.incarnation() == other.incarnation()
+        && one.strayLeaseUntilMillis() == other.strayLeaseUntilMillis();
+  }
+
+  /** Lists a worker without its stray lease once that has expired. */
+  void removeExpiredStrayLease(Worker worker) {
+    boolean expired = worker.clockMillis > worker.strayLeaseUntilMillis;
+    if (worker.strayLeaseUntilMillis > 0 && worker.incarnationConfirmed && expired) {
+      worker.strayLeaseUntilMillis = 0;
+      ensureListed(worker);
+    }
+  }
+
   /** Removes an unregistered worker from the list, once the ends of all its runs are durable. */
   void unlistIfUnused(Worker worker) {
     boolean mayRun = worker.mayHaveUnreportedRuns(ports.clock().millis());
     boolean idle = worker.runs.isEmpty() && !mayRun;
     boolean endsDurable = worker.seenEnd == worker.acknowledgedEnd;
-    boolean listed = !worker.requestedListedAddress.isEmpty();
+    boolean listed = worker.requestedListing.isPresent();
     if (!worker.unregistered() || !idle || !endsDurable || !listed) {
       return;
     }
     long listingNumber = ++lastListingNumber;
     worker.listingNumber = listingNumber;
-    worker.requestedListedAddress = "";
+    worker.requestedListing = Optional.empty();
     writeRow(worker.id());
     ports
         .journal()
         .whenDurable(
             () -> {
               if (worker.listingNumber == listingNumber) {
-                worker.listedAddress = "";
+                worker.listing = Optional.empty();
               }
             });
     ports.log().event("worker-unlisted", worker.id(), "epoch", ports.term().epoch());
@@ -118,9 +158,8 @@
   private UsedWorkersRecord record(String row) {
     List<Used> workers = new ArrayList<>();
     for (Worker worker : fleet.all()) {
-      boolean listed = !worker.requestedListedAddress.isEmpty();
-      if (listed && row(worker.id()).equals(row)) {
-        workers.add(new Used(worker.id(), worker.requestedListedAddress, worker.capacity()));
+      if (row(worker.id()).equals(row)) {
+        worker.requestedListing.ifPresent(workers::add);
       }
     }
     return new UsedWorkersRecord(workers);
--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Worker.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Worker.java
@@ -3,6 +3,8 @@
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Optional;
+import org.masticspread.cell.journal.UsedWorkersRecord.Used;
 import org.masticspread.cell.policy.CandidateWorker;
 import org.masticspread.cell.policy.Forecast;
 import org.masticspread.cell.policy.SpeedEstimator;
@@ -62,6 +64,12 @@
    */
   long unconfirmedLeaseExpiryMillis = Long.MIN_VALUE / 2;
 
+  /**
+   * The latest end of a lease that a call for an earlier incarnation may have granted to this one,
+   * on the worker's clock; 0 for none.
+   */
+  long strayLeaseUntilMillis;
+
   /** Whether another incarnation answers at its address. */
   boolean replaced;
 
@@ -123,11 +131,14 @@
   /** Whether a gang waited for its capacity as of the latest pass. */
   boolean awaitedByGang;
 
-  /** The address under which it is durably listed as used; empty if it is not listed. */
-  String listedAddress = "";
+  /** How it is durably listed as used. */
+  Optional<Used> listing = Optional.empty();
+
+  /** How it is listed or about to be. */
+  Optional<Used> requestedListing = Optional.empty();
 
-  /** The address under which it is listed or about to be; empty if neither. */
-  String requestedListedAddress = "";
+  /** How former leaders listed it. */
+  Optional<Used> inheritedListing = Optional.empty();
 
   /** The number of the latest listing, so that only that one takes effect. */
   long listingNumber;
@@ -162,6 +173,17 @@
     return (epoch << GENERATION_BITS) + generation;
   }
 
+  /** Returns whether a former leader listed another incarnation than the given one. */
+  boolean inheritedFromOther(long born) {
+    return inheritedListing.filter(used -> used.incarnation() != born).isPresent();
+  }
+
+  /** Returns whether a lease of a former leader may last for the longest time that there is. */
+  private boolean mayHoldStrayLease() {
+    boolean listed = inheritedListing.filter(used -> used.strayLeaseUntilMillis() > 0).isPresent();
+    return listed || registeredIncarnation != 0 && inheritedFromOther(registeredIncarnation);
+  }
+
   static String key(String task, long run) {
     return task + "#" + run;
   }
@@ -201,7 +223,9 @@
   /** Returns when, on the cell's clock, its lease has certainly expired. */
   long leaseExpiryMillis() {
     if (!hasAnswered) {
-      return mayHoldInheritedLease ? inheritedLeases.endMillis() : Long.MIN_VALUE;
+      return mayHoldInheritedLease
+          ? inheritedLeases.endMillis(mayHoldStrayLease())
+          : Long.MIN_VALUE;
     }
     double left = Math.max(0, leaseUntilMillis - clockMillis) * Cell.CLOCK_DRIFT_FACTOR;
     long expiry = clockReadMillis + (long) left + Cell.LEASE_EXPIRY_MARGIN.toMillis();
@@ -213,9 +237,13 @@
     return lastRefusalMillis >= 0 && lastRenewalSentMillis < lastRefusalMillis;
   }
 
-  /** Returns whether it is durably listed under its current address. */
+  /** Returns whether it is durably listed with its current address and incarnation. */
   boolean listed() {
-    return listedAddress.equals(entry.address());
+    return listing
+        .filter(used -> used.address().equals(entry.address()))
+        .filter(used -> used.incarnation() == incarnation)
+        .filter(used -> used.strayLeaseUntilMillis() >= strayLeaseUntilMillis)
+        .isPresent();
   }
 
   boolean unregistered() {
--- a/masticspread-cell/src/main/java/org/masticspread/cell/journal/UsedWorkersRecord.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/journal/UsedWorkersRecord.java
@@ -21,6 +21,14 @@
    * @param id the id of the worker
    * @param address its host and port
    * @param capacity the resources that its tasks may use in total
+   * @param incarnation the start time of the incarnation that may run tasks; 0 if unknown
+   * @param strayLeaseUntilMillis the latest end, on the worker's clock, of a lease that a call for
+   *     an earlier incarnation may have granted to this one; 0 for none
    */
-  public record Used(String id, String address, ResourceVector capacity) {}
+  public record Used(
+      String id,
+      String address,
+      ResourceVector capacity,
+      long incarnation,
+      long strayLeaseUntilMillis) {}
 }
--- a/masticspread-cell/src/test/java/org/masticspread/cell/engine/IncarnationTest.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/engine/IncarnationTest.java
@@ -243,4 +243,51 @@
       assertThat(fixture.workers.starts()).hasSize(2);
     }
   }
+
+  @Nested
+  class NextLeader {
+    /** Guards against a leader that does not know of a lease at a new incarnation. */
+    @ParameterizedTest
+    @ValueSource(longs = {0, 200, 600, 1500, 3000})
+    void should_not_run_a_task_twice_that_a_former_leader_started_at_a_new_incarnation(
+        long cutMillis) {
+      // GIVEN
+      fixture.workers.crash("w1", DOWN);
+      accept("a", 1, 20_000);
+      pass(600);
+      fixture.cell.close();
+
+      // WHEN
+      returning.silent = cutMillis == 0;
+      fixture.workers.add("w2", "r1", 4000);
+      fixture.lead();
+      fixture.cell.formerLeadersEnded("closed");
+      pass(cutMillis);
+      returning.silent = true;
+      pass(12_000);
+
+      // THEN
+      assertThat(fixture.startsOf("a.0.0.0")).isEqualTo(2);
+    }
+
+    /** Guards against a wait for a lease that has ended long ago. */
+    @Test
+    void should_not_wait_longer_for_a_worker_that_returned_long_ago() {
+      // GIVEN
+      fixture.workers.crash("w1", DOWN);
+      accept("a", 1, 60_000);
+      pass(12_000);
+      fixture.cell.close();
+
+      // WHEN
+      returning.silent = true;
+      fixture.workers.add("w2", "r1", 4000);
+      fixture.lead();
+      fixture.cell.formerLeadersEnded("closed");
+      pass(5000);
+
+      // THEN
+      assertThat(fixture.startsOf("a.0.0.0")).isEqualTo(2);
+    }
+  }
 }
--- a/masticspread-cell/src/test/java/org/masticspread/cell/testing/VmCluster.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/testing/VmCluster.java
@@ -57,6 +57,9 @@
   /** How long a call to a worker that is not reached gets no answer. */
   private static final Duration WORKER_TIMEOUT = Duration.ofMillis(500);
 
+  /** How long a worker that starts takes to register. */
+  private static final Duration REGISTRATION_TIME = Duration.ofMillis(50);
+
   /** The timeout of calls to the store that are answered at once. */
   private static final Duration STORE_TIMEOUT = Duration.ofSeconds(1);
 
@@ -292,6 +295,15 @@
     addOrRemove(cutLinks, Set.of(one, other), cut);
   }
 
+  /**
+   * Lets a worker crash and start again under its id. It takes the calls that were sent while it
+   * was down, and registers soon after.
+   */
+  public void crashWorker(String id, Duration down) {
+    workers.crash(id, down);
+    time.after(down.plus(REGISTRATION_TIME), () -> register(id));
+  }
+
   /** Cuts the link between a VM and a worker, or reconnects them. */
   public void cutFromWorker(String name, String worker, boolean cut) {
     addOrRemove(cutFromWorkers, List.of(name, worker), cut);
@@ -357,6 +369,10 @@
     return FRAME_OVERHEAD_BYTES + Rows.encode(message).length;
   }
 
+  private boolean linkCut(String one, String other) {
+    return !one.equals(other) && cutLinks.contains(Set.of(one, other));
+  }
+
   private CompletableFuture<PeerMessage> callPeer(
       String from, String incarnation, VmId to, PeerMessage message, Duration timeout) {
     CompletableFuture<PeerMessage> answer = new CompletableFuture<>();
@@ -364,7 +380,7 @@
     final boolean cut =
         cutFromPeers.contains(from)
             || cutFromPeers.contains(to.value())
-            || cutLinks.contains(Set.of(from, to.value()))
+            || linkCut(from, to.value())
             || time.millis() < peersSilentUntilMillis;
     if (target == null || target.vm == null) {
       time.after(
