--- a/masticspread-soak/src/main/java/org/masticspread/soak/Soak.java
+++ b/masticspread-soak/src/main/java/org/masticspread/soak/Soak.java
@@ -40,6 +40,9 @@
   /** Many changes closely follow a fault, before the VMs can have noticed it. */
   private static final int STEPS_AFTER_FAULT = 6;
 
+  private static final int WORKERS = 6;
+  private static final int MAX_WORKER_DOWN_MILLIS = 1500;
+
   private final long seed;
   private final int vmCount;
   private final Duration faultTime;
@@ -73,7 +76,7 @@
     String network = "127.0." + ProcessHandle.current().pid() % NETWORKS + ".";
     Path directory = Files.createTempDirectory("soak-" + seed + "-");
     NioEventLoopGroup loops = new NioEventLoopGroup(2);
-    try (StandInPlatform platform = StandInPlatform.start(6)) {
+    try (StandInPlatform platform = StandInPlatform.start(WORKERS)) {
       String[] store = platform.storeAddress().split(":");
       InetSocketAddress target = new InetSocketAddress(store[0], Integer.parseInt(store[1]));
       for (int i = 1; i <= vmCount; i++) {
@@ -109,6 +112,8 @@
   private void runSteps(Callers callers, StandInPlatform platform, ConfigChecker configs)
       throws IOException, InterruptedException {
     SplittableRandom random = new SplittableRandom(seed);
+    // Drawn apart, so that the other faults of a seed stay the same.
+    SplittableRandom workers = new SplittableRandom(~seed);
     int steps = (int) (faultTime.toMillis() / STEP_INTERVAL.toMillis());
     int changeStep = 0;
     for (int step = 0; step < steps; step++) {
@@ -117,6 +122,9 @@
         injectFault(random, step, platform, configs);
         changeStep = random.nextBoolean() ? step + STEPS_AFTER_FAULT : changeStep;
       }
+      if (workers.nextInt(FAULT_STEPS) == 0) {
+        crashWorker(workers, platform);
+      }
       if (step >= changeStep) {
         configs.change();
         changeStep = step + MIN_CHANGE_STEPS + random.nextInt(MAX_CHANGE_STEPS);
@@ -128,6 +136,12 @@
     recover(Integer.MAX_VALUE);
   }
 
+  /** Lets a worker crash and start again under its id. */
+  private static void crashWorker(SplittableRandom random, StandInPlatform platform) {
+    Duration downTime = Duration.ofMillis(random.nextInt(MAX_WORKER_DOWN_MILLIS));
+    platform.crashWorker(random.nextInt(WORKERS), downTime);
+  }
+
   private void recover(int step) throws IOException, InterruptedException {
     for (Recovery recovery : List.copyOf(recoveries)) {
       if (recovery.step <= step) {
