Cell: a job counts as waiting until one of its tasks has certainly started

Cause: the state of a job became RUNNING when its first start was sent, and nothing set it back.

Evidence: CellTest, should_count_the_jobs_whose_starts_were_refused, failed before with a count of 0.

A job begins when a start is answered with success, or a worker lists a run or an end of one of its tasks. A start without an answer that is listed later begins it then.

--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Job.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Job.java
@@ -58,6 +58,16 @@
     return order.id();
   }
 
+  /** Marks it as running, once a task has certainly started; returns whether it was waiting. */
+  boolean begin() {
+    if (state != JobState.QUEUED) {
+      return false;
+    }
+    state = JobState.RUNNING;
+    visibleState = JobState.RUNNING;
+    return true;
+  }
+
   /** Opens the occurrences that are due until a wall-clock time. */
   void openUntil(Instant time) {
     int count = order.recurrence().count();
--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Launcher.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Launcher.java
@@ -9,7 +9,6 @@
 import org.masticspread.cell.port.WorkerPort.OrderResult;
 import org.masticspread.cell.port.WorkerPort.Outcome;
 import org.masticspread.cell.port.WorkerPort.Start;
-import org.masticspread.model.cell.JobState;
 
 /**
  * Sends start and stop orders to workers, and handles the results. Confined to the cell's thread.
@@ -59,14 +58,6 @@
     run.clockAtStartMillis = worker.clockMillis;
     worker.leaseUntilMillis = Math.max(worker.leaseUntilMillis, leaseEnd);
     Job job = task.step.job;
-    if (job.state == JobState.QUEUED) {
-      ports
-          .metrics()
-          .histogram(MetricRegistry.name("job.wait.ms", job.order.queue()))
-          .update(now() - job.acceptedMillis);
-      job.state = JobState.RUNNING;
-      job.visibleState = JobState.RUNNING;
-    }
     Start order =
         new Start(
             task.name,
@@ -123,6 +114,7 @@
         if (run.phase != Run.Phase.RUNNING) {
           run.enterPhase(Run.Phase.RUNNING, now());
         }
+        begin(run.task.step.job, run.startedAtMillis);
       }
       case UNKNOWN -> {
         ports.log().event("task-start-unknown", run.taskName, "run", run.number);
@@ -141,6 +133,15 @@
     }
   }
 
+  private void begin(Job job, long startedAtMillis) {
+    if (job.begin()) {
+      ports
+          .metrics()
+          .histogram(MetricRegistry.name("job.wait.ms", job.order.queue()))
+          .update(startedAtMillis - job.acceptedMillis);
+    }
+  }
+
   private void handleRefusal(Run run, Outcome outcome) {
     ports
         .log()
--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/WorkerReportHandler.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/WorkerReportHandler.java
@@ -122,6 +122,7 @@
     if (job.state.ended()) {
       return;
     }
+    job.begin();
     if (!end.checkpoint().isEmpty()) {
       storeCheckpoint(task, end.checkpoint());
     }
@@ -228,6 +229,9 @@
       run.percent = row.percent();
       run.lastProgressMillis = now();
     }
+    if (run.task != null) {
+      run.task.step.job.begin();
+    }
     if (run.task != null && !row.checkpoint().isEmpty()) {
       storeCheckpoint(run.task, row.checkpoint());
     }
@@ -257,10 +261,6 @@
       run.adopted = true;
       run.expectedMillis =
           cell.queue(task.step.job).map(q -> cell.expectedMillis(q, task.step.spec)).orElse(0L);
-      if (task.step.job.state == JobState.QUEUED) {
-        task.step.job.state = JobState.RUNNING;
-        task.step.job.visibleState = JobState.RUNNING;
-      }
       ports.log().event("task-adopted", row.task(), "run", row.run(), "worker", worker.id());
     } else {
       launcher.stop(run, found.isPresent() ? "not needed" : "unknown task");
--- a/masticspread-cell/src/test/java/org/masticspread/cell/engine/CellTest.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/engine/CellTest.java
@@ -13,6 +13,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.masticspread.cell.journal.Rows;
+import org.masticspread.cell.port.WorkerPort;
 import org.masticspread.cell.testing.CellFixture;
 import org.masticspread.cell.testing.FakeTable.CommitOutcome;
 import org.masticspread.cell.testing.Jobs;
@@ -699,6 +700,45 @@
       // THEN
       assertThat(replies).extracting(CellReply::waiting).containsExactly(1);
     }
+
+    /** Guards against a count that leaves out jobs whose starts were all refused. */
+    @Test
+    void should_count_the_jobs_whose_starts_were_refused() {
+      // GIVEN
+      for (String id : List.of("w1", "w2", "w3")) {
+        fixture.workers.state(id).startRefusal = WorkerPort.Outcome.UNHEALTHY;
+      }
+      List.of("a", "b", "c").forEach(id -> fixture.submit(job(id, 2, 1000, SHORT, false)));
+      advance(1000);
+
+      // WHEN
+      List<CellReply> replies = fixture.call(Action.COUNT, "", null);
+
+      // THEN
+      assertThat(replies).extracting(CellReply::waiting).containsExactly(3);
+      assertThat(fixture.state("a")).isEqualTo(JobState.QUEUED);
+    }
+
+    /** Guards against a job that counts as waiting after the answer to its start was lost. */
+    @Test
+    void should_not_count_a_job_that_runs_although_its_start_had_no_answer() {
+      // GIVEN
+      fixture.accept(job("full", 3, 4000, LONG, false));
+      for (String id : List.of("w1", "w2", "w3")) {
+        fixture.workers.state(id).nextStartDelay = Duration.ofMillis(5);
+      }
+      advance(3000);
+      fixture.accept(job("b", 1, 4000, LONG, false));
+      advance(3000);
+
+      // WHEN
+      List<CellReply> replies = fixture.call(Action.COUNT, "", null);
+
+      // THEN
+      assertThat(fixture.workers.runs("b.0.0.0")).isTrue();
+      assertThat(replies).extracting(CellReply::waiting).containsExactly(0);
+      assertThat(fixture.state("b")).isEqualTo(JobState.RUNNING);
+    }
   }
 
   @Nested
