Cell: what former leaders listed of a worker stays listed until its first answer

A new leader that had not heard a worker yet listed it anew without the stray lease that the former leader had noted; the leader after it did not know of it, and a task ran twice. Two more of the same lines: a worker whose answers do not name its incarnation, while the registry does, got no work; and a row that was written for another worker kept the capacity that a worker had when it was listed.

A listing is made from a worker's answers once there is one, and from the earlier listing or the registry before; rows are written with the present capacity.

--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/UsedWorkers.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/UsedWorkers.java
@@ -98,16 +98,22 @@
             });
   }
 
-  /** Returns how a worker is to be listed; a change of its incarnation once it is confirmed. */
+  /** Returns how a worker is to be listed. */
   private static Used current(Worker worker) {
-    long listed = worker.requestedListing.map(Used::incarnation).orElse(worker.entry.incarnation());
-    long incarnation = worker.incarnation == 0 ? listed : worker.incarnation;
-    return new Used(
-        worker.id(),
-        worker.entry.address(),
-        worker.capacity(),
-        incarnation,
-        worker.strayLeaseUntilMillis);
+    String address = worker.entry.address();
+    if (worker.hasAnswered) {
+      return new Used(
+          worker.id(),
+          address,
+          worker.capacity(),
+          worker.incarnation,
+          worker.strayLeaseUntilMillis);
+    }
+    // What former leaders knew of it stays listed until its first answer.
+    long incarnation =
+        worker.requestedListing.map(Used::incarnation).orElse(worker.entry.incarnation());
+    long strayLeaseUntil = worker.requestedListing.map(Used::strayLeaseUntilMillis).orElse(0L);
+    return new Used(worker.id(), address, worker.capacity(), incarnation, strayLeaseUntil);
   }
 
   /** Returns whether two listings differ at most in the capacity. */
@@ -159,12 +165,21 @@
     List<Used> workers = new ArrayList<>();
     for (Worker worker : fleet.all()) {
       if (row(worker.id()).equals(row)) {
-        worker.requestedListing.ifPresent(workers::add);
+        worker.requestedListing.map(used -> withCapacity(used, worker)).ifPresent(workers::add);
       }
     }
     return new UsedWorkersRecord(workers);
   }
 
+  private static Used withCapacity(Used used, Worker worker) {
+    return new Used(
+        used.id(),
+        used.address(),
+        worker.capacity(),
+        used.incarnation(),
+        used.strayLeaseUntilMillis());
+  }
+
   private static String row(String id) {
     return Integer.toString(Math.floorMod(id.hashCode(), ROW_COUNT));
   }
--- a/masticspread-cell/src/test/java/org/masticspread/cell/engine/IncarnationTest.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/engine/IncarnationTest.java
@@ -5,6 +5,7 @@
 import static org.masticspread.cell.port.WorkerPort.Outcome.UNHEALTHY;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import org.junit.jupiter.api.AfterEach;
@@ -13,6 +14,10 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.masticspread.cell.journal.Rows;
+import org.masticspread.cell.journal.UsedWorkersRecord;
+import org.masticspread.cell.journal.UsedWorkersRecord.Used;
+import org.masticspread.cell.port.TableRow;
 import org.masticspread.cell.testing.CellFixture;
 import org.masticspread.cell.testing.FakeWorkers.State;
 import org.masticspread.cell.testing.Jobs;
@@ -196,6 +201,47 @@
     }
   }
 
+  @Nested
+  class Listing {
+    /** An id that is listed in the same row as {@code w1}. */
+    private static final String IN_THE_SAME_ROW = "wA";
+
+    @Test
+    void should_use_a_worker_whose_answers_do_not_name_its_incarnation() {
+      // GIVEN
+      returning.silent = true;
+      State unnamed = fixture.workers.add("w2", "r1", 4000);
+      unnamed.incarnation = 0;
+      fixture.cell.register(unnamed.entry);
+      pass(2000);
+
+      // WHEN
+      accept("a", 1, 300);
+      pass(1000);
+
+      // THEN
+      assertThat(fixture.state("a")).isEqualTo(JobState.SUCCEEDED);
+    }
+
+    /** Guards against a row that is written again with the capacity of an earlier one. */
+    @Test
+    void should_list_the_present_capacity() throws Exception {
+      // GIVEN
+      fixture.cell.register(fixture.workers.add("w1", "r1", 8000).entry);
+
+      // WHEN
+      addWorker(IN_THE_SAME_ROW);
+
+      // THEN
+      List<Used> listed = new ArrayList<>();
+      for (TableRow row : fixture.table.rowsOf(Rows.USED_WORKER_TABLE)) {
+        listed.addAll(Rows.decode(UsedWorkersRecord.class, row.value()).workers());
+      }
+      assertThat(listed).extracting(Used::id).containsExactly("w1", IN_THE_SAME_ROW);
+      assertThat(listed.get(0).capacity().millicores()).isEqualTo(8000);
+    }
+  }
+
   @Nested
   class Fencing {
     /** Guards against a leader that takes its own higher token for that of another leader. */
@@ -270,6 +316,29 @@
       assertThat(fixture.startsOf("a.0.0.0")).isEqualTo(2);
     }
 
+    /** Guards against a leader that lists a worker anew before it has heard it. */
+    @Test
+    void should_not_run_a_task_twice_when_the_next_leader_never_heard_the_worker() {
+      // GIVEN
+      fixture.workers.crash("w1", DOWN);
+      accept("a", 1, 20_000);
+      pass(600);
+      fixture.cell.close();
+      returning.silent = true;
+      fixture.workers.add("w2", "r1", 4000);
+
+      // WHEN
+      fixture.lead();
+      pass(100);
+      fixture.cell.close();
+      fixture.lead();
+      fixture.cell.formerLeadersEnded("closed");
+      pass(12_000);
+
+      // THEN
+      assertThat(fixture.startsOf("a.0.0.0")).isEqualTo(2);
+    }
+
     /** Guards against a wait for a lease that has ended long ago. */
     @Test
     void should_not_wait_longer_for_a_worker_that_returned_long_ago() {
