Cell: the answer to a start is judged by the incarnation that it was sent to

Trace: worker w-4 is back at 03.485 with two starts in flight; the answer to the first has a clock that is behind, so a new incarnation is suspected and confirmed, with both runs in its list; then the answer to the second start comes, with the same clock, and is taken for a sign of yet another incarnation: the runs that w-4 lists are released, and start again on w-2.

Cause: whether the answer belongs to the present generation was read from the run, which takes the generation of an answer that lists it.

The generation and the known clock stay with the call, as for stops.

--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Incarnations.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Incarnations.java
@@ -1,6 +1,7 @@
 package org.masticspread.cell.engine;
 
 import java.util.List;
+import org.masticspread.cell.port.WorkerPort.OrderResult;
 import org.masticspread.cell.port.WorkerView;
 
 /**
@@ -45,12 +46,12 @@
   }
 
   /**
-   * Handles the clock in the answer to a start. A clock that is behind one that was known when the
-   * start was sent belongs to another incarnation.
+   * Handles the answer to a start of the present generation. A clock that is behind the one that
+   * was known when the start was sent belongs to another incarnation.
    */
-  void startAnswered(Run run, long clockMillis) {
-    Worker worker = run.worker;
-    if (worker.incarnationConfirmed && clockMillis < run.clockAtStartMillis) {
+  void startAnswered(Worker worker, OrderResult result, long knownClockMillis) {
+    long clockMillis = result.clockMillis().orElse(knownClockMillis);
+    if (worker.incarnationConfirmed && clockMillis < knownClockMillis) {
       raiseGeneration(worker, 0, "clock");
       releaseRunsOf(worker);
     }
--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Launcher.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Launcher.java
@@ -55,7 +55,6 @@
     long leaseEnd = worker.leaseEnd(now(), cell.leaseMillis());
     run.startDeadlineMillis = leaseEnd;
     run.generation = worker.generation;
-    run.clockAtStartMillis = worker.clockMillis;
     worker.leaseUntilMillis = Math.max(worker.leaseUntilMillis, leaseEnd);
     Job job = task.step.job;
     Start order =
@@ -85,6 +84,9 @@
             "resumes",
             !task.checkpoint.isEmpty());
     long sentMillis = now();
+    long knownClockMillis = worker.clockMillis;
+    // The run takes the generation of an answer that lists it, also before its start is answered.
+    long generation = worker.generation;
     var unused =
         ports
             .workers()
@@ -94,18 +96,15 @@
                   if (result.outcome() == Outcome.DONE) {
                     startLatency.record(Duration.ofMillis(now() - sentMillis), now());
                   }
-                  handleStartResult(run, result);
+                  if (generation == worker.generation && !cell.closed()) {
+                    cell.incarnations().startAnswered(worker, result, knownClockMillis);
+                  }
+                  handleStartResult(run, result, generation);
                 });
   }
 
-  private void handleStartResult(Run run, OrderResult result) {
-    if (cell.closed()) {
-      return;
-    }
-    if (run.generation == run.worker.generation && result.clockMillis().isPresent()) {
-      cell.incarnations().startAnswered(run, result.clockMillis().getAsLong());
-    }
-    if (run.worker.runs.get(Worker.key(run.taskName, run.number)) != run) {
+  private void handleStartResult(Run run, OrderResult result, long generation) {
+    if (cell.closed() || run.worker.runs.get(Worker.key(run.taskName, run.number)) != run) {
       return;
     }
     count("starts", result.outcome());
@@ -123,7 +122,7 @@
         cell.renew(run.worker);
       }
       case FENCED -> {
-        if (run.generation == run.worker.generation) {
+        if (generation == run.worker.generation) {
           cell.handleFenced(run.worker);
         } else {
           handleRefusal(run, result.outcome());
--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Run.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Run.java
@@ -47,9 +47,6 @@
   /** The generation of the worker for which the start was sent, or that listed it. */
   long generation;
 
-  /** The worker's clock that was known when the start was sent. */
-  long clockAtStartMillis;
-
   /** The incarnation that listed it as running; 0 if none did. */
   long listedIncarnation;
 
--- a/masticspread-cell/src/test/java/org/masticspread/cell/engine/IncarnationTest.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/engine/IncarnationTest.java
@@ -157,6 +157,24 @@
       assertThat(fixture.workers.starts()).hasSize(3);
     }
 
+    /** Guards against a late answer that is taken for a sign of yet another incarnation. */
+    @Test
+    void should_keep_runs_when_a_start_is_answered_after_the_incarnation_was_confirmed() {
+      // GIVEN
+      returning.answerGap = Duration.ofMillis(30);
+      fixture.workers.crash("w1", DOWN);
+      accept("a", 3, 3000);
+
+      // WHEN
+      addWorker("w2");
+      pass(6000);
+
+      // THEN
+      assertThat(fixture.state("a")).isEqualTo(JobState.SUCCEEDED);
+      assertThat(fixture.workers.starts()).hasSize(3);
+      assertThat(eventsOf("worker-life-suspected")).hasSize(1);
+    }
+
     /** Guards against a start that is carried out after its run was released. */
     @Test
     void should_not_run_a_task_twice_when_its_start_is_carried_out_late() {
--- a/masticspread-cell/src/test/java/org/masticspread/cell/lead/ReturningWorkersTest.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/lead/ReturningWorkersTest.java
@@ -128,6 +128,7 @@
     int untilCut = down + MIN_MILLIS_BEFORE_CUT + random.nextInt(3000);
     int cut = random.nextInt(4) == 0 ? 0 : 500 + random.nextInt(9000);
     faults.add(now() + " crash " + worker + " " + down + ", cut in " + untilCut + " for " + cut);
+    cluster.workers.state(worker).answerGap = Duration.ofMillis(random.nextInt(60));
     cluster.crashWorker(worker, Duration.ofMillis(down));
     if (cut > 0) {
       cluster.time.after(Duration.ofMillis(untilCut), () -> cutOff(worker, true));
--- a/masticspread-cell/src/test/java/org/masticspread/cell/testing/FakeWorkers.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/testing/FakeWorkers.java
@@ -88,6 +88,12 @@
     /** When it is back after a crash; calls that are sent before arrive then. */
     long downUntilMillis;
 
+    /** By how much later each call that arrives after a crash is answered than the one before. */
+    public Duration answerGap = Duration.ZERO;
+
+    /** Number of calls that arrive after the latest crash. */
+    int lateCalls;
+
     /** Number of crashes; what waited for an answer before a crash gets none. */
     int crashes;
 
@@ -256,6 +262,7 @@
   public void crash(String id, Duration down) {
     State state = workers.get(id);
     state.crashes++;
+    state.lateCalls = 0;
     state.answerPendingRenewal = null;
     state.downUntilMillis = time.millis() + down.toMillis();
     restart(id);
@@ -290,7 +297,13 @@
     return Single.create(
         emitter -> {
           Duration wait = Duration.ofMillis(state.downUntilMillis - time.millis()).plus(LATENCY);
-          time.after(wait, () -> emitter.onSuccess(call.get()));
+          Duration answerDelay = state.answerGap.multipliedBy(state.lateCalls++);
+          time.after(
+              wait,
+              () -> {
+                T answer = call.get();
+                time.after(answerDelay, () -> emitter.onSuccess(answer));
+              });
           time.after(TIMEOUT, () -> emitter.onSuccess(unknown));
         });
   }
