--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Launcher.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Launcher.java
@@ -50,12 +50,12 @@
 
   /** Sends the start of a booked run. */
   void start(Run run, String ticket) {
-    Task task = run.task;
     Worker worker = run.worker;
     long leaseEnd = worker.leaseEnd(now(), cell.leaseMillis());
     run.startDeadlineMillis = leaseEnd;
     run.generation = worker.generation;
     worker.leaseUntilMillis = Math.max(worker.leaseUntilMillis, leaseEnd);
+    Task task = run.task;
     Job job = task.step.job;
     Start order =
         new Start(
