--- a/masticspread-soak/src/main/java/org/masticspread/soak/FaultProxy.java
+++ b/masticspread-soak/src/main/java/org/masticspread/soak/FaultProxy.java
@@ -73,6 +73,13 @@
   /** Resets every open connection. */
   void reset() {
     for (Channel channel : channels) {
+      // On its event loop, where it cannot be closed between the check and the option.
+      channel.eventLoop().execute(() -> reset(channel));
+    }
+  }
+
+  private static void reset(Channel channel) {
+    if (channel.isOpen()) {
       channel.config().setOption(ChannelOption.SO_LINGER, 0);
       channel.close();
     }
