--- a/masticspread-soak/src/main/java/org/masticspread/soak/Callers.java
+++ b/masticspread-soak/src/main/java/org/masticspread/soak/Callers.java
@@ -70,12 +70,21 @@
 
   /** Submits a job without waiting for the answer. */
   void submitRandom(RandomGenerator random) {
-    String id = String.format("%08x%08x", seed & 0xffffffffL, submitted++);
     String front = fronts.get(random.nextInt(fronts.size()));
     boolean gang = random.nextInt(4) == 0;
     int shortMillis = 50 + random.nextInt(1500);
     int millis = submitted % LONG_JOB_INTERVAL == 0 ? LONG_TASK_MILLIS : shortMillis;
     boolean cancel = random.nextInt(10) == 0;
+    submit(front, millis, gang, cancel);
+  }
+
+  /** Submits a job whose tasks outlast a lease, without waiting for the answer. */
+  void submitLong(RandomGenerator random) {
+    submit(fronts.get(random.nextInt(fronts.size())), LONG_TASK_MILLIS, false, false);
+  }
+
+  private void submit(String front, int millis, boolean gang, boolean cancel) {
+    String id = String.format("%08x%08x", seed & 0xffffffffL, submitted++);
     threads.execute(
         () -> {
           submissions.put(id, submit(front, id, millis, gang));
--- a/masticspread-soak/src/main/java/org/masticspread/soak/Soak.java
+++ b/masticspread-soak/src/main/java/org/masticspread/soak/Soak.java
@@ -124,7 +124,7 @@
         injectFault(random, step, workers.platform());
         changeStep = random.nextBoolean() ? step + STEPS_AFTER_FAULT : changeStep;
       }
-      workers.step(step);
+      workers.step(step, callers);
       if (step >= changeStep) {
         configs.change();
         changeStep = step + MIN_CHANGE_STEPS + random.nextInt(MAX_CHANGE_STEPS);
--- a/masticspread-soak/src/main/java/org/masticspread/soak/WorkerFaults.java
+++ b/masticspread-soak/src/main/java/org/masticspread/soak/WorkerFaults.java
@@ -22,6 +22,8 @@
   private static final int MIN_CUT_STEPS = 10;
   private static final int MAX_CUT_STEPS = 200;
   private static final int MAX_CALM_STEPS = 60;
+  private static final int FIRST_LONG_JOB_STEPS = 8;
+  private static final int LAST_LONG_JOB_STEPS = 30;
   private static final int MAX_CRASHED_TOGETHER = 3;
   private static final int MIN_START_DELAY_MILLIS = 2000;
   private static final int MAX_START_DELAY_MILLIS = 12_000;
@@ -74,7 +76,7 @@
   }
 
   /** Draws whether a fault begins at a step, and which. */
-  void step(int step) {
+  void step(int step, Callers callers) {
     if (random.nextInt(FAULT_STEPS) != 0) {
       return;
     }
@@ -95,7 +97,10 @@
           crash(worker, step, step + 2 + random.nextInt(MAX_DOWN_STEPS), false);
         }
       }
-      default -> crashAndCut(step);
+      default -> {
+        crashAndCut(step);
+        submitLongJobs(step, callers);
+      }
     }
   }
 
@@ -123,6 +128,16 @@
     }
   }
 
+  /**
+   * Submits long jobs while calls to a worker that crashes at this step open new connections, and
+   * before it gets no more tasks for its silence.
+   */
+  private void submitLongJobs(int step, Callers callers) {
+    for (int i = FIRST_LONG_JOB_STEPS; i < LAST_LONG_JOB_STEPS; i += 2) {
+      schedule.fault(step + i, () -> callers.submitLong(random));
+    }
+  }
+
   /**
    * Lets a worker crash without an end of its connections, and start again.
    *
