--- a/masticspread-soak/src/main/java/org/masticspread/soak/Soak.java
+++ b/masticspread-soak/src/main/java/org/masticspread/soak/Soak.java
@@ -32,6 +32,9 @@
    */
   private static final int FAULT_STEPS = 25;
 
+  /** The same in runs of even seeds, in which mostly workers fail, under a leader that lasts. */
+  private static final int RARE_FAULT_STEPS = 150;
+
   private static final int NETWORKS = 250;
 
   /** The configuration changes after this many steps, and up to {@link #MAX_CHANGE_STEPS} more. */
@@ -117,10 +120,11 @@
       throws IOException, InterruptedException {
     SplittableRandom random = new SplittableRandom(seed);
     int steps = (int) (faultTime.toMillis() / STEP_INTERVAL.toMillis());
+    int faultSteps = seed % 2 == 0 ? RARE_FAULT_STEPS : FAULT_STEPS;
     int changeStep = 0;
     for (int step = 0; step < steps; step++) {
       callers.submitRandom(random);
-      if (random.nextInt(FAULT_STEPS) == 0) {
+      if (random.nextInt(faultSteps) == 0) {
         injectFault(random, step, workers.platform());
         changeStep = random.nextBoolean() ? step + STEPS_AFTER_FAULT : changeStep;
       }
--- a/masticspread-soak/src/main/java/org/masticspread/soak/WorkerFaults.java
+++ b/masticspread-soak/src/main/java/org/masticspread/soak/WorkerFaults.java
@@ -24,7 +24,6 @@
   private static final int MAX_CALM_STEPS = 60;
   private static final int FIRST_LONG_JOB_STEPS = 8;
   private static final int LAST_LONG_JOB_STEPS = 30;
-  private static final int MAX_CRASHED_TOGETHER = 3;
   private static final int MIN_START_DELAY_MILLIS = 2000;
   private static final int MAX_START_DELAY_MILLIS = 12_000;
   private static final double SLOW_CLOCK_RATE = 0.98;
@@ -113,7 +112,7 @@
     int lossStep = backStep + random.nextInt(MAX_STEPS_UNTIL_LOSS);
     boolean heard = random.nextBoolean();
     int cutStep = (heard ? lossStep : backStep) + random.nextInt(MAX_STEPS_UNTIL_CUT);
-    int crashes = 1 + random.nextInt(MAX_CRASHED_TOGETHER);
+    int crashes = 1 + random.nextInt(WORKERS);
     boolean losesLeader = random.nextBoolean();
     String signal = random.nextBoolean() ? "KILL" : "TERM";
     for (int i = 0; i < crashes; i++) {
