Calls to workers reach the incarnation that they are for, or none

Cause: a leader takes a worker for alive until 1.5 s after its last answer. A start or a renewal that it sends meanwhile goes out on a new connection, since the former ones ended with the process, and is carried out by the next incarnation: it knows no fencing token, and the lease end is a time on another clock, so the lease lasts for the longest time that there is. If the worker is cut off before any answer and before its new registry entry, nobody learns of this incarnation; leader and next leader count the short lease. Class: a call that is made for one incarnation is carried out by the next. Expect-Instance names the id, which is the same.

Fix: starts, and renewals that grant a lease or acknowledge ends, name their incarnation, and are sent only on a connection on which it has answered. On a new one a probe goes first, a renewal that does no harm anywhere. A connection ends with the process at its other end, so the call reaches that incarnation or none. Another incarnation that answers the probe raises the generation; without an answer the start was certainly not sent.

--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Incarnations.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Incarnations.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import org.masticspread.cell.port.WorkerPort.OrderResult;
+import org.masticspread.cell.port.WorkerPort.Outcome;
 import org.masticspread.cell.port.WorkerView;
 
 /**
@@ -51,8 +52,10 @@
    */
   void startAnswered(Worker worker, OrderResult result, long knownClockMillis) {
     long clockMillis = result.clockMillis().orElse(knownClockMillis);
-    if (worker.incarnationConfirmed && clockMillis < knownClockMillis) {
-      raiseGeneration(worker, 0, "clock");
+    boolean behind = clockMillis < knownClockMillis;
+    boolean other = result.outcome() == Outcome.OTHER_LIFE;
+    if (worker.incarnationConfirmed && (behind || other)) {
+      raiseGeneration(worker, 0, other ? "start" : "clock");
       releaseRunsOf(worker);
     }
   }
--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/Launcher.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/Launcher.java
@@ -65,7 +65,8 @@
             leaseEnd,
             worker.token(ports.term().epoch()),
             task.checkpoint,
-            ticket);
+            ticket,
+            worker.incarnation);
     ports
         .log()
         .event(
--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/LeaseRenewer.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/LeaseRenewer.java
@@ -87,7 +87,8 @@
             leaseEnd,
             worker.token(ports.term().epoch()),
             acknowledged,
-            longPoll ? LONG_POLL_TIMEOUT : Duration.ZERO);
+            longPoll ? LONG_POLL_TIMEOUT : Duration.ZERO,
+            worker.incarnation);
     var unused =
         ports
             .workers()
--- a/masticspread-cell/src/main/java/org/masticspread/cell/port/WorkerPort.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/port/WorkerPort.java
@@ -5,7 +5,13 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 
-/** The port to the workers. Calls never fail: every outcome is a result. */
+/**
+ * The port to the workers. Calls never fail: every outcome is a result.
+ *
+ * <p>Starts, and renewals that grant a lease or acknowledge ends, are made for one incarnation of
+ * the worker. No other incarnation gets them, not even one that starts under the same id while the
+ * call is on its way.
+ */
 public interface WorkerPort {
   /**
    * Starts a task.
@@ -40,7 +46,9 @@
   Single<OrderResult> throttle(WorkerEntry worker, String task, long run, int percent, long token);
 
   /**
-   * Renews the lease of all runs on a worker and reads their state.
+   * Renews the lease of all runs on a worker and reads their state. If another incarnation answers
+   * than the one that the renewal is for, it gets neither lease nor acknowledgement, and only tells
+   * what it runs.
    *
    * @param worker the worker
    * @param renewal the renewal
@@ -58,6 +66,7 @@
    * @param token the fencing token
    * @param checkpoint the checkpoint to resume from; empty for a fresh start
    * @param ticket the advisor's ticket; empty for none
+   * @param incarnation the incarnation of the worker that gets the order, and no other
    */
   record Start(
       String task,
@@ -66,7 +75,8 @@
       long leaseUntilMillis,
       long token,
       String checkpoint,
-      String ticket) {}
+      String ticket,
+      long incarnation) {}
 
   /**
    * A lease renewal.
@@ -76,8 +86,24 @@
    * @param token the fencing token
    * @param acknowledged the highest number of an ended run that the worker may forget
    * @param maxWait the maximum time that the worker waits for a run to end before it answers
+   * @param incarnation the incarnation of the worker that gets the lease and the acknowledgement,
+   *     and no other
    */
-  record Renewal(OptionalLong leaseUntilMillis, long token, long acknowledged, Duration maxWait) {}
+  record Renewal(
+      OptionalLong leaseUntilMillis,
+      long token,
+      long acknowledged,
+      Duration maxWait,
+      long incarnation) {
+    /**
+     * Returns whether it does no harm at another incarnation.
+     *
+     * @return whether it neither grants a lease nor acknowledges ends
+     */
+    public boolean readsOnly() {
+      return leaseUntilMillis.isEmpty() && acknowledged == 0;
+    }
+  }
 
   /**
    * The result of a renewal.
@@ -121,7 +147,7 @@
     NO_TICKET,
     /** Refused by an unhealthy worker; nothing was done. */
     UNHEALTHY,
-    /** Refused: another incarnation of the worker answered. */
+    /** Not carried out: another incarnation of the worker answered. */
     OTHER_LIFE,
     /** Refused as malformed. */
     REJECTED,
