Test calls that are bound to an incarnation

FakeWorkers.bindsCalls lets starts, leases and acknowledgements reach only the incarnation that they are for. It is off by default, so that existing tests still play calls of earlier versions. Such a call does not even show its token to the other incarnation.

--- a/masticspread-cell/src/test/java/org/masticspread/cell/testing/FakeWorkers.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/testing/FakeWorkers.java
@@ -54,6 +54,12 @@
   /** The workers on which each task runs. */
   private final Map<String, List<State>> locations = new HashMap<>();
 
+  /**
+   * Whether starts, leases and acknowledgements reach only the incarnation that they are for. Those
+   * of VMs of earlier versions reach the next incarnation as well.
+   */
+  public boolean bindsCalls;
+
   /** Creates a pool without workers. */
   public FakeWorkers(VirtualTime time) {
     this.time = time;
@@ -66,6 +72,13 @@
     public boolean failsAll;
     public boolean losesNextStart;
     public Duration nextStartDelay;
+
+    /** Whether calls reach it while its answers get lost. */
+    public boolean losesAnswers;
+
+    /** The latest renewal that was sent to it; null if there was none. */
+    public Renewal lastRenewal;
+
     public Duration stopDelay = Duration.ZERO;
 
     /** Outcome with which starts are refused, without effect; null if they are carried out. */
@@ -256,10 +269,15 @@
 
   /**
    * Lets a worker crash and start again under its id. Its new incarnation knows nothing of the
-   * former one, its clock starts at zero, and it takes the calls that were sent while it was down.
-   * Starts that it held for later are lost.
+   * former one, its clock starts at zero, and it takes the calls that were sent while it was down,
+   * unless {@link #bindsCalls} holds. Starts that it held for later are lost.
    */
   public void crash(String id, Duration down) {
+    crash(id, down, 0);
+  }
+
+  /** Lets a worker crash like {@link #crash(String, Duration)} and sets its new clock. */
+  public void crash(String id, Duration down, long clockMillis) {
     State state = workers.get(id);
     state.crashes++;
     state.lateCalls = 0;
@@ -267,6 +285,7 @@
     state.downUntilMillis = time.millis() + down.toMillis();
     restart(id);
     state.clockSetMillis = state.downUntilMillis;
+    state.clockAtSetMillis = clockMillis;
   }
 
   /** Restarts the process of a worker, which answers the calls in flight. */
@@ -302,7 +321,9 @@
               wait,
               () -> {
                 T answer = call.get();
-                time.after(answerDelay, () -> emitter.onSuccess(answer));
+                if (!state.losesAnswers) {
+                  time.after(answerDelay, () -> emitter.onSuccess(answer));
+                }
               });
           time.after(TIMEOUT, () -> emitter.onSuccess(unknown));
         });
@@ -339,11 +360,12 @@
           state,
           () -> {
             begin(state, order);
-            return new OrderResult(outcome(state, order), clock(state));
+            return result(state, order);
           },
           OrderResult.of(Outcome.UNKNOWN));
     }
-    boolean answerLost = state.silent || state.losesNextStart || state.nextStartDelay != null;
+    boolean answerLost =
+        state.silent || state.losesAnswers || state.losesNextStart || state.nextStartDelay != null;
     Duration delay = state.nextStartDelay;
     boolean neverArrives = state.silent || state.losesNextStart;
     state.losesNextStart = false;
@@ -359,8 +381,7 @@
             }
           }
           if (!answerLost) {
-            Runnable answer =
-                () -> emitter.onSuccess(new OrderResult(outcome(state, order), clock(state)));
+            Runnable answer = () -> emitter.onSuccess(result(state, order));
             time.after(LATENCY, () -> onceUp(state, answer));
           }
           time.after(TIMEOUT, () -> emitter.onSuccess(OrderResult.of(Outcome.UNKNOWN)));
@@ -374,6 +395,18 @@
     }
   }
 
+  /** Returns whether a call meets another incarnation than the one that it is for. */
+  private boolean meetsOther(State state, long incarnation) {
+    return bindsCalls && incarnation != state.incarnation;
+  }
+
+  private OrderResult result(State state, Start order) {
+    if (meetsOther(state, order.incarnation())) {
+      return OrderResult.of(order.token() < state.token ? Outcome.FENCED : Outcome.OTHER_LIFE);
+    }
+    return new OrderResult(outcome(state, order), clock(state));
+  }
+
   private Outcome outcome(State state, Start order) {
     if (order.token() < state.token) {
       return Outcome.FENCED;
@@ -385,6 +418,9 @@
   }
 
   private void begin(State state, Start order) {
+    if (meetsOther(state, order.incarnation())) {
+      return;
+    }
     boolean outdated = state.highestRun.getOrDefault(order.task(), 0L) >= order.run();
     boolean late = order.leaseUntilMillis() < clockMillis(state);
     if (order.token() < state.token || outdated || late) {
@@ -546,7 +582,13 @@
             time.after(TIMEOUT, () -> emitter.onSuccess(OrderResult.of(Outcome.UNKNOWN)));
             return;
           }
-          Runnable call = () -> emitter.onSuccess(applyStop(state, task, run, token));
+          Runnable call =
+              () -> {
+                OrderResult result = applyStop(state, task, run, token);
+                if (!state.losesAnswers) {
+                  emitter.onSuccess(result);
+                }
+              };
           time.after(LATENCY, () -> onceUp(state, call));
           time.after(TIMEOUT, () -> emitter.onSuccess(OrderResult.of(Outcome.UNKNOWN)));
         });
@@ -580,6 +622,7 @@
   @Override
   public Single<RenewResult> renew(WorkerEntry worker, Renewal renewal) {
     State state = workers.get(worker.id());
+    state.lastRenewal = renewal;
     if (state.replaced) {
       return refused(Outcome.OTHER_LIFE)
           .map(result -> new RenewResult(result.outcome(), Optional.empty()));
@@ -606,7 +649,8 @@
           boolean[] answered = {false};
           Runnable answer =
               () -> {
-                if (!answered[0] && !state.silent && state.crashes == crashes) {
+                boolean lost = state.silent || state.losesAnswers || state.crashes != crashes;
+                if (!answered[0] && !lost) {
                   answered[0] = true;
                   emitter.onSuccess(
                       state.replaced
@@ -624,7 +668,8 @@
                   emitter.onSuccess(new RenewResult(Outcome.UNKNOWN, Optional.empty()));
                 }
               });
-          if (renewal.maxWait().isZero() || hasNewEnds) {
+          boolean readsNow = !renewal.readsOnly() && meetsOther(state, renewal.incarnation());
+          if (renewal.maxWait().isZero() || hasNewEnds || readsNow) {
             time.after(LATENCY.multipliedBy(2), answer);
             return;
           }
@@ -634,7 +679,8 @@
   }
 
   private void renewLease(State state, Renewal renewal) {
-    if (renewal.token() < state.token) {
+    boolean other = !renewal.readsOnly() && meetsOther(state, renewal.incarnation());
+    if (renewal.token() < state.token || other) {
       return;
     }
     state.token = renewal.token();
