Test calls in flight of suspended and stopping leaders

VmCluster suspends VMs, and a worker may start again with any clock while its registry entry still shows the former incarnation.

--- a/masticspread-cell/src/test/java/org/masticspread/cell/testing/VmCluster.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/testing/VmCluster.java
@@ -97,6 +97,10 @@
 
   private final Set<String> unregistered = new HashSet<>();
   private final Set<String> failingEntries = new HashSet<>();
+
+  /** Entries that still show a former incarnation, by worker. */
+  private final Map<String, WorkerEntry> formerEntries = new HashMap<>();
+
   private final Set<String> unreadableEntries = new HashSet<>();
 
   /** The VMs whose open connections to the store went silent, until a call on one times out. */
@@ -262,6 +266,10 @@
     if (unreadableEntries.contains(id)) {
       return Optional.empty();
     }
+    return Optional.ofNullable(formerEntries.get(id)).or(() -> workerEntry(id));
+  }
+
+  private Optional<WorkerEntry> workerEntry(String id) {
     return workers.entries().stream().filter(entry -> entry.id().equals(id)).findFirst();
   }
 
@@ -304,6 +312,32 @@
     time.after(down.plus(REGISTRATION_TIME), () -> register(id));
   }
 
+  /**
+   * Lets a worker crash and start again under its id with the given clock. Until its registration,
+   * its entry shows the former incarnation.
+   */
+  public void crashWorker(String id, Duration down, long clockMillis, Duration registration) {
+    workerEntry(id).ifPresent(entry -> formerEntries.put(id, entry));
+    workers.crash(id, down, clockMillis);
+    long incarnation = workers.state(id).incarnation;
+    time.after(
+        down.plus(registration),
+        () -> {
+          if (workers.state(id).incarnation == incarnation) {
+            formerEntries.remove(id);
+            register(id);
+          }
+        });
+  }
+
+  /**
+   * Suspends the process of a VM. Calls that it has sent still arrive; it handles answers, messages
+   * and timers when it goes on.
+   */
+  public void freeze(String name, Duration duration) {
+    members.get(name).queues.freeze(duration);
+  }
+
   /** Cuts the link between a VM and a worker, or reconnects them. */
   public void cutFromWorker(String name, String worker, boolean cut) {
     addOrRemove(cutFromWorkers, List.of(name, worker), cut);
@@ -392,11 +426,11 @@
       time.after(Duration.ZERO, () -> fail(answer, false, "no address"));
       return answer;
     }
-    time.after(timeout, () -> fail(answer, true, "no answer"));
+    Member sender = members.get(from);
+    time.after(timeout, () -> sender.queues.whenRunning(() -> fail(answer, true, "no answer")));
     if (cut) {
       return answer;
     }
-    Member sender = members.get(from);
     deliver(
         sender,
         target,
@@ -450,10 +484,10 @@
       Single<T> lost =
           Single.create(emitter -> time.after(WORKER_TIMEOUT, () -> emitter.onSuccess(noAnswer)));
       if (cutFromWorkers.contains(link)) {
-        return lost;
+        return queues.whenRunning(lost);
       }
-      return call.get()
-          .flatMap(answer -> cutFromWorkers.contains(link) ? lost : Single.just(answer));
+      return queues.whenRunning(
+          call.get().flatMap(answer -> cutFromWorkers.contains(link) ? lost : Single.just(answer)));
     }
 
     @Override
@@ -618,7 +652,8 @@
                         answer -> {
                           if (silences == silencesBefore && reachable()) {
                             Duration delay = storeDelays.getOrDefault(vm, Duration.ZERO);
-                            time.after(delay, () -> emitter.onSuccess(answer));
+                            time.after(
+                                delay, () -> queues.whenRunning(() -> emitter.onSuccess(answer)));
                           }
                         },
                         emitter::tryOnError);
@@ -631,6 +666,10 @@
     }
 
     private void expire(SingleEmitter<?> emitter) {
+      queues.whenRunning(() -> expireNow(emitter));
+    }
+
+    private void expireNow(SingleEmitter<?> emitter) {
       if (!emitter.isDisposed()) {
         silentToStore.remove(vm);
         silentPolls.remove(vm);
--- a/masticspread-cell/src/test/java/org/masticspread/cell/testing/VmLimits.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/testing/VmLimits.java
@@ -1,5 +1,6 @@
 package org.masticspread.cell.testing;
 
+import io.reactivex.rxjava3.core.Single;
 import java.time.Duration;
 
 /**
@@ -25,6 +26,7 @@
     private double outboundFreeAtMillis;
     private double inboundFreeAtMillis;
     private double processorFreeAtMillis;
+    private long frozenUntilMillis;
 
     Queues(VmLimits limits, VirtualTime time) {
       this.limits = limits;
@@ -60,8 +62,37 @@
       return limits.bytesPerSecond == 0 ? 0 : bytes * 1000.0 / limits.bytesPerSecond;
     }
 
+    /** Suspends the process, which goes on later where it was. */
+    void freeze(Duration duration) {
+      frozenUntilMillis = time.millis() + duration.toMillis();
+    }
+
+    /** Runs an action once the process is not suspended. */
+    void whenRunning(Runnable action) {
+      if (time.millis() < frozenUntilMillis) {
+        time.after(Duration.ofMillis(frozenUntilMillis - time.millis()), action);
+      } else {
+        action.run();
+      }
+    }
+
+    /** Delivers a result once the process is not suspended. */
+    <T> Single<T> whenRunning(Single<T> result) {
+      return Single.create(
+          emitter -> {
+            var unused =
+                result.subscribe(
+                    answer -> whenRunning(() -> emitter.onSuccess(answer)),
+                    error -> whenRunning(() -> emitter.tryOnError(error)));
+          });
+    }
+
     /** Runs an action when the processor is free, and occupies the processor for the CPU time. */
     void execute(Duration cpuTime, Runnable action) {
+      if (time.millis() < frozenUntilMillis) {
+        whenRunning(() -> execute(cpuTime, action));
+        return;
+      }
       if (limits.cores == 0) {
         action.run();
         return;
