--- a/masticspread-soak/src/main/java/org/masticspread/soak/WorkerFaults.java
+++ b/masticspread-soak/src/main/java/org/masticspread/soak/WorkerFaults.java
@@ -108,25 +108,34 @@
    * in between.
    */
   private void crashAndCut(int step) {
-    int backStep = step + 2 + random.nextInt(MAX_DOWN_STEPS);
+    int downSteps = FIRST_LONG_JOB_STEPS + random.nextInt(MAX_DOWN_STEPS - FIRST_LONG_JOB_STEPS);
+    int backStep = step + downSteps;
     int lossStep = backStep + random.nextInt(MAX_STEPS_UNTIL_LOSS);
     boolean heard = random.nextBoolean();
-    int cutStep = (heard ? lossStep : backStep) + random.nextInt(MAX_STEPS_UNTIL_CUT);
+    int cutStep = (heard ? lossStep : backStep) + 1 + random.nextInt(MAX_STEPS_UNTIL_CUT);
     int crashes = 1 + random.nextInt(WORKERS);
     boolean losesLeader = random.nextBoolean();
     String signal = random.nextBoolean() ? "KILL" : "TERM";
+    int worker = latestUsed();
     for (int i = 0; i < crashes; i++) {
-      int worker = random.nextInt(WORKERS);
       if (busyUntilStep[worker] <= step) {
         crash(worker, step, backStep, !heard);
         cut(worker, cutStep);
       }
+      worker = random.nextInt(WORKERS);
     }
     if (losesLeader) {
       schedule.fault(lossStep, () -> leaderLoss.inject(signal, lossStep));
     }
   }
 
+  /** Returns the worker that started the latest task, and so has room for more. */
+  private int latestUsed() {
+    List<String> starts = platform.runHistory().starts();
+    String worker = starts.isEmpty() ? "w-0" : starts.get(starts.size() - 1).split(" ")[0];
+    return Integer.parseInt(worker.substring("w-".length()));
+  }
+
   /**
    * Submits long jobs while calls to a worker that crashes at this step open new connections, and
    * before it gets no more tasks for its silence.
--- a/masticspread-soak/src/test/java/org/masticspread/soak/ReturningWorkerTest.java
+++ b/masticspread-soak/src/test/java/org/masticspread/soak/ReturningWorkerTest.java
@@ -24,7 +24,7 @@
   /** In this time, the calls that waited reach the next incarnation. */
   private static final Duration TIME_BEFORE_CUT = Duration.ofMillis(200);
 
-  /** Longer than the longest lease. */
+  /** Longer than the lease that a leader grants. */
   private static final int TASK_MILLIS = 7000;
 
   /** More than there are open connections to the worker. */
