An acknowledgement counts as delivered only if its incarnation answered

A renewal that meets another incarnation returns that one's view and acknowledges nothing, but its number was recorded as delivered. If the former incarnation was confirmed after all, its ends were not acknowledged until the next one.

--- a/masticspread-cell/src/main/java/org/masticspread/cell/engine/LeaseRenewer.java
+++ b/masticspread-cell/src/main/java/org/masticspread/cell/engine/LeaseRenewer.java
@@ -128,8 +128,10 @@
     }
     worker.failedRenewals = 0;
     worker.expiryLogged = false;
-    worker.deliveredAcknowledgement =
-        Math.max(worker.deliveredAcknowledgement, renewal.acknowledged());
+    if (result.view().get().incarnation() == renewal.incarnation()) {
+      worker.deliveredAcknowledgement =
+          Math.max(worker.deliveredAcknowledgement, renewal.acknowledged());
+    }
     final boolean first = !worker.hasAnswered;
     reportHandler.handle(worker, result.view().get(), sentMillis);
     if (!isCurrent(worker)) {
