--- a/masticspread-soak/src/main/java/org/masticspread/soak/Soak.java
+++ b/masticspread-soak/src/main/java/org/masticspread/soak/Soak.java
@@ -32,9 +32,11 @@
    */
   private static final int FAULT_STEPS = 25;
 
-  /** The same in runs of even seeds, in which mostly workers fail, under a leader that lasts. */
+  /** The same in each fourth run, in which mostly workers fail, under a leader that lasts. */
   private static final int RARE_FAULT_STEPS = 150;
 
+  private static final int CALM_RUN_INTERVAL = 4;
+
   private static final int NETWORKS = 250;
 
   /** The configuration changes after this many steps, and up to {@link #MAX_CHANGE_STEPS} more. */
@@ -120,7 +122,7 @@
       throws IOException, InterruptedException {
     SplittableRandom random = new SplittableRandom(seed);
     int steps = (int) (faultTime.toMillis() / STEP_INTERVAL.toMillis());
-    int faultSteps = seed % 2 == 0 ? RARE_FAULT_STEPS : FAULT_STEPS;
+    int faultSteps = seed % CALM_RUN_INTERVAL == 0 ? RARE_FAULT_STEPS : FAULT_STEPS;
     int changeStep = 0;
     for (int step = 0; step < steps; step++) {
       callers.submitRandom(random);
