Draw restarts that show nowhere, with bound calls

ReturningWorkersTest plays a second group of seeds in which calls are bound: workers crash at any moment, often with starts in flight, half of the cuts come before the worker is back, the registry entry is behind until the cut is over, new clocks start up to 20 s behind or ahead, and workers keep the highest acknowledged number. The draws of the first group are unchanged.

--- a/masticspread-cell/src/test/java/org/masticspread/cell/lead/ReturningWorkersTest.java
+++ b/masticspread-cell/src/test/java/org/masticspread/cell/lead/ReturningWorkersTest.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.function.Consumer;
 import java.util.stream.LongStream;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
@@ -30,6 +31,9 @@
   private static final List<String> WORKERS = List.of("w1", "w2", "w3", "w4", "w5", "w6");
   private static final Duration STEP = Duration.ofMillis(100);
   private static final Duration RUN_TIME = Duration.ofSeconds(40);
+  private static final Duration LONG_RUN = Duration.ofSeconds(12);
+  private static final Duration RUN_IN_FLIGHT = Duration.ofSeconds(8);
+  private static final int TASKS_IN_FLIGHT = 10;
   private static final Duration CALM_TIME = Duration.ofSeconds(45);
 
   /** A worker that answers or registers within this time shows its incarnation before a cut. */
@@ -51,17 +55,45 @@
     // GIVEN
     Random random = new Random(seed);
     WORKERS.forEach(id -> cluster.workers.add(id, "r1", 4000));
+    startVms(random);
+
+    // WHEN
+    disturb(random, this::crash);
+
+    // THEN
+    assertAllRanOnce(seed);
+  }
+
+  /** Guards against restarts that show nowhere before a cut, with clocks that start anywhere. */
+  @ParameterizedTest
+  @MethodSource("seeds")
+  void should_run_no_task_twice_and_lose_none_when_calls_are_bound(long seed) {
+    // GIVEN
+    Random random = new Random(seed);
+    cluster.workers.bindsCalls = true;
+    WORKERS.forEach(id -> cluster.workers.add(id, "r1", 4000).keepsAcknowledgedNumber = true);
+    startVms(random);
+
+    // WHEN
+    disturb(random, this::crashUnseen);
+
+    // THEN
+    assertAllRanOnce(seed);
+  }
+
+  private void startVms(Random random) {
     WORKERS.forEach(id -> cluster.workers.clockRate(id, random.nextBoolean() ? 1 : 0.98));
     VMS.forEach(name -> cluster.start(name, 1 + random.nextDouble()));
     cluster.time.pass(Duration.ofMillis(2500));
+  }
 
-    // WHEN
+  private void disturb(Random random, Consumer<Random> crash) {
     for (long end = now() + RUN_TIME.toMillis(); now() < end; cluster.time.pass(STEP)) {
       if (random.nextInt(8) == 0) {
         submit(random);
       }
       if (random.nextInt(12) == 0) {
-        crash(random);
+        crash.accept(random);
       }
       if (random.nextInt(60) == 0) {
         loseLeader(random);
@@ -71,8 +103,9 @@
       }
     }
     cluster.time.pass(CALM_TIME);
+  }
 
-    // THEN
+  private void assertAllRanOnce(long seed) {
     assertThat(cluster.workers.violations()).as("seed %d, faults %s", seed, faults).isEmpty();
     assertThat(accepted.stream().filter(job -> !succeeded(job)))
         .as("seed %d, faults %s", seed, faults)
@@ -96,7 +129,11 @@
   private void submit(Random random) {
     String id = "j" + now();
     int tasks = 1 + random.nextInt(3);
-    Duration runs = Duration.ofMillis(random.nextInt(4) == 0 ? 12_000 : 300);
+    Duration runs = random.nextInt(4) == 0 ? LONG_RUN : Duration.ofMillis(300);
+    submit(random, id, tasks, runs);
+  }
+
+  private void submit(Random random, String id, int tasks, Duration runs) {
     cluster.workers.describe(id, new ResourceVector(500, 1024, 0), runs);
     String name = pick(random, VMS);
     cluster.send(
@@ -137,6 +174,58 @@
     busyUntil.put(worker, now() + untilCut + cut + random.nextInt(4000));
   }
 
+  /**
+   * Lets a worker crash at any moment, and mostly cuts it off at any moment from then on. Its new
+   * clock starts anywhere, and its registry entry is behind until the cut is over.
+   */
+  private void crashUnseen(Random random) {
+    String worker = pick(random, WORKERS);
+    if (busyUntil.getOrDefault(worker, 0L) > now()) {
+      return;
+    }
+    int delay = random.nextInt((int) STEP.toMillis());
+    int down = random.nextInt(random.nextBoolean() ? 100 : 1500);
+    // Half of the cuts come before the worker is back, when calls are in flight.
+    int untilCut = delay + (random.nextBoolean() ? down : down + random.nextInt(3000));
+    int cut = random.nextInt(4) == 0 ? 0 : 500 + random.nextInt(9000);
+    int clockAhead = random.nextInt(40_000) - 20_000;
+    // A worker that is cut off cannot register.
+    int registrable = random.nextInt(3000);
+    boolean cutBefore = cut > 0 && delay + down + registrable >= untilCut;
+    int registration = cutBefore ? untilCut + cut - delay - down + 50 : registrable;
+    String fault =
+        now()
+            + " crash "
+            + worker
+            + " in "
+            + delay
+            + " for "
+            + down
+            + ", clock ahead "
+            + clockAhead;
+    faults.add(fault + ", cut in " + untilCut + " for " + cut + ", registers in " + registration);
+    cluster.workers.state(worker).answerGap = Duration.ofMillis(random.nextInt(60));
+    cluster.time.after(
+        Duration.ofMillis(delay),
+        () ->
+            cluster.crashWorker(
+                worker,
+                Duration.ofMillis(down),
+                now() + clockAhead,
+                Duration.ofMillis(registration)));
+    if (random.nextBoolean()) {
+      // Its starts are sent while the worker is down.
+      String id = "k" + now() + worker;
+      cluster.time.after(
+          Duration.ofMillis(delay + 5), () -> submit(random, id, TASKS_IN_FLIGHT, RUN_IN_FLIGHT));
+    }
+    if (cut > 0) {
+      cluster.time.after(Duration.ofMillis(untilCut), () -> cutOff(worker, true));
+      cluster.time.after(Duration.ofMillis(untilCut + cut), () -> cutOff(worker, false));
+    }
+    busyUntil.put(worker, now() + untilCut + cut + random.nextInt(4000));
+  }
+
   private void cutOff(String worker, boolean cut) {
     VMS.forEach(name -> cluster.cutFromWorker(name, worker, cut));
   }
