Soak: VMs that shut down at the end of a run start again

A VM that was still shutting down when the run ended was found alive, so it was not started again; the jobs were then asked for at VMs that were gone, and the time for that ran out.

--- a/masticspread-soak/src/main/java/org/masticspread/soak/Soak.java
+++ b/masticspread-soak/src/main/java/org/masticspread/soak/Soak.java
@@ -50,6 +50,9 @@
   /** Longer than a graceful shutdown of a VM. */
   private static final int SHUTDOWN_STEPS = 110;
 
+  /** The grace period of the stand-in platform and a margin. */
+  private static final Duration MAX_SHUTDOWN_TIME = Duration.ofSeconds(8);
+
   private static final Pattern LEADER =
       Pattern.compile("\"leader-changed\",\"id\":\"vm-(\\d+)\",\"epoch\":(\\d+)");
 
@@ -140,6 +143,10 @@
       Thread.sleep(STEP_INTERVAL.toMillis());
     }
     schedule.recoverAll();
+    for (VmSubprocess process : processes) {
+      process.awaitShutdown(MAX_SHUTDOWN_TIME);
+      process.start();
+    }
   }
 
   /** Ends the VM that leads by its log, and starts it again later. */
--- a/masticspread-soak/src/main/java/org/masticspread/soak/VmSubprocess.java
+++ b/masticspread-soak/src/main/java/org/masticspread/soak/VmSubprocess.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 
@@ -16,6 +17,9 @@
   private final String front;
   private Process process;
 
+  /** Whether the process was told to end. */
+  private boolean shuttingDown;
+
   VmSubprocess(String name, ObjectNode settings, Path directory) throws IOException {
     this.name = name;
     this.settings = directory.resolve(name + ".yaml");
@@ -60,15 +64,24 @@
     }
     ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
     builder.environment().put("MASTICSPREAD_BOOT", settings.toString());
+    shuttingDown = false;
     process = builder.redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile())).start();
   }
 
   void signal(String signal) throws IOException, InterruptedException {
+    shuttingDown |= signal.equals("TERM");
     if (process != null && process.isAlive()) {
       new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor();
     }
   }
 
+  /** Waits for the end of a process that was told to end, and kills it if it is late. */
+  void awaitShutdown(Duration timeout) throws InterruptedException {
+    if (shuttingDown && !process.waitFor(timeout.toMillis(), TimeUnit.MILLISECONDS)) {
+      kill();
+    }
+  }
+
   void kill() throws InterruptedException {
     if (process != null) {
       process.destroyForcibly();
