--- a/review/standin-3/Rig.java
+++ b/review/standin-3/Rig.java
@@ -1,3 +1,4 @@
+import com.fasterxml.jackson.core.json.JsonWriteFeature;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
@@ -60,6 +61,7 @@
   final Store store;
   final List<Worker> workers = new ArrayList<>();
   final List<Vm> vms = new ArrayList<>();
+  private final List<Vm> started = new ArrayList<>();
   private final BufferedWriter record;
   private final HttpClient client =
       HttpClient.newBuilder()
@@ -397,12 +399,17 @@
     private final Map<String, Long> highest = new HashMap<>();
     private final List<ArrayNode> ends = new ArrayList<>();
     private long lastEnd;
+
+    /** The last end before a moment at which the lease had lapsed. */
+    private long lapsedSeq;
+
     private long token;
     private long leaseUntil;
     boolean down;
     int starts;
     int done;
     int lapsed;
+    int stopped;
     long acknowledged;
 
     final class Run {
@@ -459,7 +466,7 @@
               .put("born", born)
               .put("seq", 1);
       entry.putObject("capacity").put("cpu", cpu).put("mem_mb", 131_072).put("gpus", 0);
-      entry.putArray("labels").add("a").add("r" + number / 8);
+      entry.putArray("labels").add(number % 3 == 0 ? "b" : "a").add("r" + number / 8);
       store.write("servers", id, entry);
     }
 
@@ -472,6 +479,9 @@
         sleep(10);
         synchronized (this) {
           boolean lease = clock() <= leaseUntil;
+          if (!lease) {
+            lapsedSeq = lastEnd;
+          }
           for (Run run : List.copyOf(running.values())) {
             if (!lease) {
               end(run, "lapsed");
@@ -493,9 +503,11 @@
             .add(run.task);
       }
       lapsed += how.equals("lapsed") ? 1 : 0;
+      stopped += how.equals("stopped") ? 1 : 0;
       ArrayNode row = JSON.createArrayNode();
       row.add(++lastEnd).add(run.task).add(run.number).add(how).add(run.saved());
       ends.add(row);
+      audit.ended(this, run.task, how);
       if (!quiet(run.task)) {
         log(id, "ends " + run.task + " run " + run.number + " " + how + " seq " + lastEnd);
       }
@@ -550,6 +562,7 @@
             reason = "old";
           } else {
             starts++;
+            audit.started(this, task, number, call.path("spec").asText());
             highest.put(task, number);
             long workMs = duties.workMillis(task, number, call.path("spec").asText());
             running.put(task, new Run(task, number, call.path("checkpoint").asText(""), workMs, lasting.contains(jobOf(task))));
@@ -596,6 +609,11 @@
           lease(call);
           long acked = call.path("acked_seq").asLong();
           acknowledged = Math.max(acknowledged, acked);
+          for (ArrayNode row : ends) {
+            if (row.get(0).asLong() <= acked && row.get(3).asText().equals("done")) {
+              audit.noted(this, row.get(1).asText(), row.get(0).asLong() <= lapsedSeq);
+            }
+          }
           ends.removeIf(row -> row.get(0).asLong() <= acked);
           long until = System.nanoTime() + call.path("wait_ms").asLong() * 1_000_000;
           long left = (until - System.nanoTime()) / 1_000_000;
@@ -651,6 +669,100 @@
   /** Jobs whose starts are counted but not logged one by one. */
   final java.util.Set<String> quietJobs = java.util.concurrent.ConcurrentHashMap.newKeySet();
 
+  /** Checks the orders that executors carry out against the rules. */
+  final Audit audit = new Audit();
+
+  /** What was sent and run, as the rules TWICE, ORDER and ROUTE need it. */
+  final class Audit {
+    private final Map<String, JsonNode> jobs = new HashMap<>();
+    private final Map<String, Worker> running = new HashMap<>();
+    private final Map<String, List<long[]>> unnoted = new HashMap<>();
+    private final java.util.Set<String> noted = new java.util.HashSet<>();
+    final List<String> broken = new ArrayList<>();
+
+    synchronized void sent(String id, JsonNode job) {
+      jobs.put(id, job);
+    }
+
+    private static String escaped(String text) {
+      StringBuilder escaped = new StringBuilder();
+      text.chars()
+          .forEach(c -> escaped.append(c < 128 ? "" + (char) c : String.format("\\u%04x", c)));
+      return escaped.toString();
+    }
+
+    private void broken(String text) {
+      broken.add(text);
+      log("audit", text);
+    }
+
+    synchronized void started(Worker worker, String task, long run, String spec) {
+      String[] parts = task.split("\\.");
+      JsonNode job = jobs.get(parts[0]);
+      if (job == null) {
+        return;
+      }
+      if (!spec.equals(job.path("spec").asText())) {
+        broken(
+            "UNASKED: " + task + " starts with spec " + escaped(spec) + ", sent was "
+                + escaped(job.path("spec").asText()));
+      }
+      JsonNode step = job.path("steps").path(Integer.parseInt(parts[2]));
+      Worker other = running.put(task, worker);
+      if (other != null && other != worker && !other.down) {
+        broken("TWICE: " + task + " run " + run + " starts while it runs on " + other.id);
+      }
+      if (noted.contains(task)) {
+        broken("TWICE: " + task + " run " + run + " starts after its end done was noted");
+      }
+      for (long[] end : unnoted.getOrDefault(task, List.of())) {
+        end[0]++;
+      }
+      String prefix = parts[0] + "." + parts[1] + ".";
+      for (JsonNode before : step.path("after")) {
+        int count = job.path("steps").path(before.asInt()).path("count").asInt();
+        for (int i = 0; i < count; i++) {
+          if (!doneTasks.getOrDefault(parts[0], java.util.Set.of())
+              .contains(prefix + before.asInt() + "." + i)) {
+            broken("ORDER: " + task + " starts before " + prefix + before.asInt() + "." + i);
+          }
+        }
+      }
+      if (job.path("repetitions").asInt() > 0) {
+        long due =
+            job.path("start_at_ms").asLong()
+                + Long.parseLong(parts[1]) * job.path("interval_ms").asLong();
+        if (System.currentTimeMillis() < due - 250) {
+          broken("ORDER: " + task + " starts early");
+        }
+      }
+      int max = step.path("max_per_server").asInt();
+      String name = prefix + parts[2] + ".";
+      long same = worker.running.keySet().stream().filter(t -> t.startsWith(name)).count();
+      if (max > 0 && same >= max) {
+        broken("ROUTE: " + task + " starts beyond max_per_server on " + worker.id);
+      }
+    }
+
+    synchronized void ended(Worker worker, String task, String how) {
+      running.remove(task, worker);
+      if (how.equals("done")) {
+        unnoted.computeIfAbsent(task, t -> new ArrayList<>()).add(new long[] {0, worker.lastEnd});
+      }
+    }
+
+    synchronized void noted(Worker worker, String task, boolean excused) {
+      List<long[]> ends = unnoted.remove(task);
+      if (excused || ends == null) {
+        return;
+      }
+      noted.add(task);
+      if (ends.get(0)[0] > 0) {
+        broken("TWICE: " + task + " was started after an end done that is now noted");
+      }
+    }
+  }
+
   /** The tasks of each job that have ended done. */
   private final Map<String, java.util.Set<String>> doneTasks =
       new java.util.concurrent.ConcurrentHashMap<>();
@@ -711,6 +823,31 @@
         });
   }
 
+  /** Returns an address of this run at which nobody listens. */
+  String unusedAddress(int number) {
+    return subnet + 200 + ":" + (7000 + number);
+  }
+
+  /** Writes a registry entry that no executor of the rig stands behind. */
+  void register(String id, String service, String address) {
+    ObjectNode entry =
+        object()
+            .put("service", service)
+            .put("address", address)
+            .put("zone", "a")
+            .put("version", "v1")
+            .put("slots", 8)
+            .put("state", "ready")
+            .put("cold_left_ms", 0)
+            .put("clock_ms", 1000)
+            .put("born", System.currentTimeMillis())
+            .put("seq", 1);
+    entry.putObject("capacity").put("cpu", 16_000).put("mem_mb", 131_072).put("gpus", 0);
+    entry.putArray("labels").add("a").add("r1");
+    store.write("servers", id, entry);
+    log("store", "another writer writes servers/" + id + " of service " + service);
+  }
+
   void addWorkers(int count, int cpu, int checkpointMs, Duties duties) throws IOException {
     for (int i = 0; i < count; i++) {
       workers.add(new Worker(workers.size(), cpu, checkpointMs, duties));
@@ -852,6 +989,7 @@
     int number = vms.size() + 1;
     Vm vm = new Vm("front-a-" + number, subnet + (10 + number), freePort3(), cores);
     vms.add(vm);
+    started.add(vm);
     vm.start();
     return vm;
   }
@@ -913,7 +1051,7 @@
     } else {
       request
           .header("Content-Type", "application/json")
-          .method(method, HttpRequest.BodyPublishers.ofString(body.toString()));
+          .method(method, HttpRequest.BodyPublishers.ofString(ascii(body)));
     }
     try {
       HttpResponse<String> response =
@@ -926,6 +1064,16 @@
     }
   }
 
+  /** Writes characters beyond ASCII as escapes, as many clients do. */
+  private static String ascii(JsonNode body) {
+    try {
+      return JSON.writer().with(JsonWriteFeature.ESCAPE_NON_ASCII.mappedFeature())
+          .writeValueAsString(body);
+    } catch (IOException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
   /**
    * Calls with retries at the VMs in turn, as a client does after no answer, 502 and 504, and after
    * a refusal if wanted.
@@ -987,9 +1135,9 @@
   }
 
   private void kill() {
-    vms.forEach(vm -> vm.process.destroyForcibly());
+    started.forEach(vm -> vm.process.destroyForcibly());
     if (System.getenv("RIG_KEEP") == null) {
-      vms.forEach(vm -> delete(vm.settings, vm.output));
+      started.forEach(vm -> delete(vm.settings, vm.output));
       delete(temp);
     }
   }
