--- a/review/standin-3/Rig.java
+++ b/review/standin-3/Rig.java
@@ -389,6 +389,7 @@
   /** An executor. */
   final class Worker {
     final String id;
+    private final int number;
     private final HttpServer server;
     private final Duties duties;
     private final int checkpointMs;
@@ -406,6 +407,10 @@
     private long token;
     private long leaseUntil;
     boolean down;
+
+    /** Whether it closes each connection after one answer. */
+    volatile boolean closes;
+
     int starts;
     int done;
     int lapsed;
@@ -443,16 +448,17 @@
     }
 
     Worker(int number, int cpu, int checkpointMs, Duties duties) throws IOException {
+      this.number = number;
       id = "i-" + String.format("%08x", 0x7f3a9100 + number);
       this.cpu = cpu;
       this.duties = duties;
       this.checkpointMs = checkpointMs;
       server = serve(this::handle);
       POOL.execute(this::live);
-      register(number);
+      store.write("servers", id, entry());
     }
 
-    private void register(int number) {
+    private ObjectNode entry() {
       ObjectNode entry =
           object()
               .put("service", "desk")
@@ -467,7 +473,7 @@
               .put("seq", 1);
       entry.putObject("capacity").put("cpu", cpu).put("mem_mb", 131_072).put("gpus", 0);
       entry.putArray("labels").add(number % 3 == 0 ? "b" : "a").add("r" + number / 8);
-      store.write("servers", id, entry);
+      return entry;
     }
 
     private long clock() {
@@ -517,6 +523,9 @@
     private void handle(HttpExchange exchange, byte[] body) throws IOException {
       String expected = exchange.getRequestHeaders().getFirst("Expect-Instance");
       exchange.getResponseHeaders().set("Instance-Id", id);
+      if (closes) {
+        exchange.getResponseHeaders().set("Connection", "close");
+      }
       if (expected != null && !expected.equals(id)) {
         reply(exchange, 421, object());
         return;
@@ -642,6 +651,29 @@
       reply(exchange, status, answer);
     }
 
+    /** Reports that it drains, serves until all its tasks have ended, and leaves. */
+    void drain(long millis) {
+      POOL.execute(
+          () -> {
+            store.write("servers", id, entry().put("state", "draining").put("remaining_ms", millis));
+            log(id, "drains");
+            sleep(millis);
+            while (!idle()) {
+              sleep(20);
+            }
+            synchronized (this) {
+              down = true;
+            }
+            store.remove("servers", id);
+            server.stop(0);
+            log(id, "has left");
+          });
+    }
+
+    private synchronized boolean idle() {
+      return running.isEmpty() && ends.isEmpty();
+    }
+
     /** Ends for good; the registry entry is removed after three heartbeat intervals. */
     void crash() {
       synchronized (this) {
