--- a/review/standin-3/Rig.java
+++ b/review/standin-3/Rig.java
@@ -54,8 +54,7 @@
             return thread;
           });
 
-  final boolean trouble = !"0".equals(System.getenv("TROUBLE"));
-  final Path folder;
+  final boolean trouble;
   final Path temp;
   final long startNanos = System.nanoTime();
   final Store store;
@@ -70,10 +69,16 @@
           .executor(POOL)
           .build();
 
+  /**
+   * Starts the store.
+   *
+   * @param args the path of the record, and 0 to run without the disruption
+   * @param storeLatencyMs the time that a call to the store takes
+   */
   Rig(String[] args, int storeLatencyMs) throws IOException {
-    folder = Path.of(args[0]);
+    trouble = !args[1].equals("0");
     temp = Files.createTempDirectory("rig");
-    record = Files.newBufferedWriter(folder.resolve("record.txt"));
+    record = Files.newBufferedWriter(Path.of(args[0]));
     store = new Store(storeLatencyMs);
     Runtime.getRuntime().addShutdownHook(new Thread(this::kill));
     log("rig", "trouble " + trouble);
